--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,63 @@
+//! The daemon that stands beside one backend server.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use gypsumtack::{Daemon, Settings, log};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for settings that are wrong or addresses that cannot be bound.
+const BAD_SETTINGS: u8 = 2;
+
+/// The daemon of one backend server VM. It needs nothing but its settings; docs/OPERATING.md
+/// describes them.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Check the settings, say what is wrong, and end
+    check: bool,
+    /// The settings file (TOML)
+    #[bpaf(positional("SETTINGS"))]
+    settings: String,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let settings = match Settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error),
+    };
+    if options.check {
+        println!("{}: ok", options.settings);
+        return ExitCode::SUCCESS;
+    }
+    log::start();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return fail(&"signals cannot be watched; start the daemon as an ordinary process");
+    };
+    let daemon = match Daemon::start(settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => return fail(&error),
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.stop().await;
+    ExitCode::SUCCESS
+}
+
+fn fail(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("gypsumtackd: {error}");
+    ExitCode::from(BAD_SETTINGS)
+}
--- /dev/null
+++ b/src/board.rs
@@ -0,0 +1,474 @@
+//! The blackboard: everything that controllers write and the path of a request reads.
+//!
+//! Controllers replace whole sections (read-copy-update); a request loads a snapshot and atomics. No
+//! lock is held across an await. docs/DESIGN.md, "Blackboard", lists who writes which section.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client as HttpClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, watch};
+
+use crate::bucket::Bucket;
+use crate::claims;
+use crate::control;
+use crate::document::{CustomerId, Policy};
+use crate::envelope::Reach;
+use crate::gate::Gate;
+use crate::instance::{Cut, Instances};
+use crate::journal::Journal;
+use crate::key::FleetKeys;
+use crate::live::LiveTable;
+use crate::member::{Record, State, View};
+use crate::metrics::Metrics;
+use crate::platform;
+use crate::settings::Settings;
+use crate::share::Holding;
+use crate::sync::lock;
+use crate::time::{Clock, Time};
+
+/// How long an idle connection to another daemon or to the backend server is kept.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+
+/// How long other owners are left alone after none had a token. It bounds the control traffic that a
+/// customer far over its rate can cause.
+const BORROW_PAUSE: Duration = Duration::from_millis(20);
+
+/// Retries that a service's bucket holds at most.
+const RETRY_BURST: f64 = 10.0;
+
+/// What the local backend server announced.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// The service that it runs.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it drains: it finishes what it has and gets nothing new.
+    #[serde(default)]
+    pub draining: bool,
+}
+
+/// One customer's share on this VM and where to borrow.
+#[derive(Debug)]
+pub struct CustomerShare {
+    holding: Mutex<Holding>,
+    /// Other owners, those with the largest shares first.
+    pub lenders: ArcSwap<Vec<String>>,
+    borrow_after: AtomicU64,
+}
+
+impl CustomerShare {
+    /// Makes a customer without a share here.
+    pub fn new(rate: f64, burst: f64, now: Time) -> Self {
+        Self {
+            holding: Mutex::new(Holding::new(rate, burst, now)),
+            lenders: ArcSwap::default(),
+            borrow_after: AtomicU64::new(0),
+        }
+    }
+
+    /// The share itself. The lock is held for one decision only.
+    pub fn holding(&self) -> MutexGuard<'_, Holding> {
+        lock(&self.holding)
+    }
+
+    /// Whether other owners may have tokens again.
+    pub fn may_borrow(&self, now: Time) -> bool {
+        now.as_micros() >= self.borrow_after.load(Ordering::Relaxed)
+    }
+
+    /// Leaves the other owners alone for a moment, because none had a token.
+    pub fn pause_borrowing(&self, now: Time) {
+        self.borrow_after.store((now + BORROW_PAUSE).as_micros(), Ordering::Relaxed);
+    }
+}
+
+/// What this daemon knows about a service that it calls.
+#[derive(Debug)]
+pub struct ServiceState {
+    /// How much it refuses now.
+    pub cut: Cut,
+    waiting: AtomicU32,
+    retries: Mutex<Bucket>,
+}
+
+impl ServiceState {
+    fn new(now: Time) -> Self {
+        Self {
+            cut: Cut::default(),
+            waiting: AtomicU32::new(0),
+            retries: Mutex::new(Bucket::full(0.0, RETRY_BURST, now)),
+        }
+    }
+
+    /// Takes a retry from the bucket.
+    pub fn take_retry(&self, now: Time) -> bool {
+        lock(&self.retries).take(1.0, now).is_ok()
+    }
+
+    /// Adds what a success earns.
+    pub fn earn_retry(&self, ratio: f64, now: Time) {
+        lock(&self.retries).put(ratio, now);
+    }
+
+    /// Counts a call that waits on this service, or returns how many do when there is no room.
+    ///
+    /// # Errors
+    ///
+    /// Returns the number of calls that wait.
+    pub fn wait(self: &Arc<Self>, bound: u32) -> Result<Waiting, u32> {
+        let held = self.waiting.fetch_add(1, Ordering::AcqRel);
+        let waiting = Waiting { service: Arc::clone(self) };
+        if held < bound { Ok(waiting) } else { Err(held) }
+    }
+}
+
+/// A call that waits on a service.
+#[derive(Debug)]
+pub struct Waiting {
+    service: Arc<ServiceState>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.service.waiting.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Services that a route's requests have reached.
+#[derive(Debug, Default)]
+pub struct RouteReach {
+    services: ArcSwap<BTreeSet<String>>,
+}
+
+impl RouteReach {
+    /// Services reached so far.
+    pub fn services(&self) -> Arc<BTreeSet<String>> {
+        self.services.load_full()
+    }
+
+    fn learn(&self, reach: &[Reach]) {
+        let known = self.services.load();
+        if reach.iter().all(|one| known.contains(&one.service)) {
+            return;
+        }
+        let names = reach.iter().map(|one| one.service.clone());
+        let all = known.iter().cloned().chain(names).collect();
+        self.services.store(Arc::new(all));
+    }
+}
+
+/// What a request needs beside the policy; replaced as one when the policy changes.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// Services by name.
+    pub services: BTreeMap<String, Arc<ServiceState>>,
+    /// Reached services, by route.
+    pub routes: BTreeMap<String, Arc<RouteReach>>,
+    /// Shares by customer.
+    pub shares: BTreeMap<CustomerId, Arc<CustomerShare>>,
+}
+
+/// Everything that one daemon shares between its tasks.
+#[derive(Debug)]
+pub struct Board {
+    /// The daemon's settings.
+    pub settings: Settings,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Keys shared with other daemons.
+    pub fleet: FleetKeys,
+    /// The document in force, compiled. The document controller writes it.
+    pub policy: ArcSwap<Policy>,
+    /// The document in force as sections of text, for peers. The document controller writes it.
+    pub document: ArcSwapOption<crate::publish::Body>,
+    /// State that follows the policy. The document controller writes it.
+    pub tables: ArcSwap<Tables>,
+    /// Members as controllers see them.
+    view: Mutex<View>,
+    /// Members as the path of a request sees them. The member controller writes it.
+    pub instances: ArcSwap<Instances>,
+    /// What the local backend server announced.
+    pub backend: ArcSwapOption<BackendServer>,
+    /// Admission to the local backend server.
+    pub gate: Arc<Gate>,
+    /// Requests that run on the local backend server.
+    pub live: LiveTable,
+    /// The platform.
+    pub platform: platform::Client,
+    /// Connections to other daemons and to the local backend server.
+    pub http: HttpClient<HttpConnector, Full<Bytes>>,
+    /// Claims on their way to the table.
+    pub claims: claims::Writer,
+    /// Connections for heartbeats, loans and documents.
+    pub control: control::Clients,
+    /// Told whenever a document is put in force.
+    pub installed: Notify,
+    /// Where a document newer than the one in force was heard of.
+    pub newer: watch::Sender<control::Source>,
+    /// The last refusals.
+    pub journal: Journal,
+    /// Counters and gauges.
+    pub metrics: Metrics,
+    /// Grows with each start of the daemon.
+    pub incarnation: u64,
+    in_flight: AtomicUsize,
+    counter: AtomicU64,
+    leaving: AtomicBool,
+    closing: AtomicU64,
+    isolated_since: AtomicU64,
+}
+
+impl Board {
+    /// Makes the blackboard of a daemon that is about to start.
+    pub fn new(settings: Settings, incarnation: u64, claims: claims::Writer) -> Self {
+        let clock = Clock::start();
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let http = HttpClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIME)
+            .retry_canceled_requests(false)
+            .build(connector);
+        let policy = Policy::empty();
+        let longest_wait = Duration::from_millis(policy.limits.queue_ms);
+        Self {
+            clock,
+            fleet: FleetKeys::derive(&settings.fleet.secrets),
+            policy: ArcSwap::from_pointee(policy),
+            document: ArcSwapOption::empty(),
+            tables: ArcSwap::default(),
+            view: Mutex::default(),
+            instances: ArcSwap::default(),
+            backend: ArcSwapOption::empty(),
+            gate: Arc::new(Gate::new(clock, longest_wait)),
+            live: LiveTable::default(),
+            platform: platform::Client::new(&settings.platform, clock),
+            http,
+            claims,
+            control: control::Clients::default(),
+            installed: Notify::new(),
+            newer: watch::Sender::default(),
+            journal: Journal::default(),
+            metrics: Metrics::new(),
+            incarnation,
+            in_flight: AtomicUsize::new(0),
+            counter: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            closing: AtomicU64::new(u64::MAX),
+            isolated_since: AtomicU64::new(u64::MAX),
+            settings,
+        }
+    }
+
+    /// Puts a document in force. Lower versions are ignored, so that none ever comes back.
+    pub fn install(&self, policy: Policy) -> bool {
+        if policy.version <= self.policy.load().version {
+            return false;
+        }
+        let now = self.clock.now();
+        let tables = self.tables.load().follow(&policy, now);
+        self.gate.set_longest_wait(Duration::from_millis(policy.limits.queue_ms));
+        self.metrics.document.set(policy.version as i64);
+        self.tables.store(Arc::new(tables));
+        self.policy.store(Arc::new(policy));
+        self.refresh();
+        self.installed.notify_one();
+        true
+    }
+
+    /// Changes the members and derives the instances from them.
+    pub fn update_view<T>(&self, change: impl FnOnce(&mut View, Time) -> T) -> T {
+        let now = self.clock.now();
+        let mut view = lock(&self.view);
+        let result = change(&mut view, now);
+        let policy = self.policy.load();
+        let domain = &self.settings.failure_domain;
+        let next = self.instances.load().derive(&view, &policy, domain, now);
+        self.instances.store(Arc::new(next));
+        result
+    }
+
+    /// Reads the members.
+    pub fn read_view<T>(&self, read: impl FnOnce(&View) -> T) -> T {
+        read(&lock(&self.view))
+    }
+
+    /// Derives the instances again, for what changes with time or with the document.
+    pub fn refresh(&self) {
+        self.update_view(|_, _| ());
+    }
+
+    /// Takes an announcement of the local backend server.
+    pub fn announce(&self, backend: BackendServer) {
+        // A backend server that drains keeps its slots for what is already here.
+        let slots = backend.slots as usize;
+        let changed = self.backend.load().as_deref() != Some(&backend);
+        if backend.draining {
+            self.close_soon();
+        } else if !self.is_leaving() {
+            self.closing.store(u64::MAX, Ordering::Release);
+        }
+        self.backend.store(Some(Arc::new(backend)));
+        if changed {
+            self.gate.set_slots(slots);
+            self.publish_self();
+        }
+    }
+
+    /// Whether the local backend server takes new work.
+    ///
+    /// One that leaves goes on taking it for a moment, until the others have heard.
+    pub fn is_ready(&self) -> bool {
+        let closing = Time::from_micros(self.closing.load(Ordering::Acquire));
+        self.backend.load().is_some() && self.clock.now() < closing
+    }
+
+    fn close_soon(&self) {
+        let span = Duration::from_millis(self.settings.limits.leave_ms);
+        let closing = (self.clock.now() + span).as_micros();
+        self.closing.fetch_min(closing, Ordering::AcqRel);
+    }
+
+    /// Starts a planned stop: new work goes elsewhere.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        self.close_soon();
+        self.publish_self();
+    }
+
+    /// Whether nothing is in flight and every known outcome is in the table.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight.load(Ordering::Acquire) == 0
+            && self.live.is_empty()
+            && self.claims.unsettled() == 0
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Puts this VM's new record into the view, from where heartbeats spread it.
+    pub fn publish_self(&self) {
+        self.counter.fetch_add(1, Ordering::AcqRel);
+        let record = self.record();
+        self.update_view(|view, now| view.merge(record, now));
+    }
+
+    /// This VM's record.
+    pub fn record(&self) -> Record {
+        let backend = self.backend.load();
+        let state = match backend.as_ref() {
+            _ if self.is_leaving() => State::Leaving,
+            Some(backend) if !backend.draining => State::Ready,
+            _ => State::Waiting,
+        };
+        Record {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            counter: self.counter.load(Ordering::Acquire),
+            state,
+            suspect: false,
+            domain: self.settings.failure_domain.clone(),
+            service: backend.as_ref().map(|b| b.service.clone()).unwrap_or_default(),
+            slots: backend.as_ref().map_or(0, |b| b.slots),
+            peers: self.settings.listen.peers,
+            control: self.settings.listen.control,
+            operators: self.settings.listen.operators,
+        }
+    }
+
+    /// Notes whether this failure domain is cut off.
+    pub fn set_isolated(&self, isolated: bool) {
+        let since = self.isolated_since.load(Ordering::Relaxed);
+        match (isolated, since) {
+            (false, _) => self.isolated_since.store(u64::MAX, Ordering::Relaxed),
+            (true, u64::MAX) => {
+                self.isolated_since.store(self.clock.now().as_micros(), Ordering::Relaxed);
+            }
+            (true, _) => {}
+        }
+    }
+
+    /// How long this failure domain has been cut off, if it is.
+    pub fn isolated_for(&self) -> Option<Duration> {
+        let since = self.isolated_since.load(Ordering::Relaxed);
+        (since != u64::MAX).then(|| self.clock.now().since(Time::from_micros(since)))
+    }
+
+    /// Learns from an answer: where the route leads, and how much those services refuse.
+    pub fn learn(&self, route: &str, reach: &[Reach]) {
+        let tables = self.tables.load();
+        let now = self.clock.now();
+        for one in reach {
+            if let Some(service) = tables.services.get(&one.service) {
+                service.cut.note(one.cut, now);
+            }
+        }
+        if let Some(route) = tables.routes.get(route) {
+            route.learn(reach);
+        }
+    }
+}
+
+impl Tables {
+    /// Tables for a new policy that keep the state of what stays.
+    fn follow(&self, policy: &Policy, now: Time) -> Self {
+        let mut next = Self::default();
+        for service in policy.services() {
+            let state = self.services.get(&service.name).cloned();
+            let state = state.unwrap_or_else(|| Arc::new(ServiceState::new(now)));
+            next.services.insert(service.name.clone(), state);
+        }
+        for route in policy.routes() {
+            let reach = self.routes.get(&route.name).cloned().unwrap_or_default();
+            next.routes.insert(route.name.clone(), reach);
+        }
+        for (id, customer) in policy.customers() {
+            let (rate, burst) = (customer.rate, customer.burst);
+            let share = match self.shares.get(&id) {
+                Some(share) => {
+                    share.holding().set_limits(rate, burst, now);
+                    Arc::clone(share)
+                }
+                None => Arc::new(CustomerShare::new(rate, burst, now)),
+            };
+            next.shares.insert(id, share);
+        }
+        next
+    }
+}
+
+/// Counts a request that this daemon works on, until it is dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    board: Arc<Board>,
+}
+
+impl InFlight {
+    /// Counts one more.
+    pub fn count(board: &Arc<Board>) -> Self {
+        board.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self { board: Arc::clone(board) }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.board.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/claims.rs
@@ -0,0 +1,420 @@
+//! Claims carried to the table, in batches of many claims a write.
+//!
+//! The decisions are in [`crate::claim`]. A request that may have been sent is never sent again here;
+//! its claim is settled even when its caller goes away, and even when the table is down for long.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::board::{Board, InFlight};
+use crate::claim::{self, Claim, Header, State, Stored, StoredBody, Verdict};
+use crate::envelope::{Load, Report, Token};
+use crate::error::PlatformError;
+use crate::forward::{self, Call};
+use crate::key::Digest;
+use crate::message::{self, Answer};
+use crate::platform::{Client, Commit, Row, Transaction};
+use crate::reason::{Outcome, Reason};
+use crate::retry::Ledger;
+
+/// Claims in one write at most.
+const BATCH: usize = 64;
+
+/// Claims and settlements that wait to be written.
+const QUEUE: usize = 4_096;
+
+/// Pause between two tries while the table fails.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause between two looks at another request's claim.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest that making a claim may take, whatever the deadline.
+const CLAIM_TIME: Duration = Duration::from_secs(3);
+
+/// The largest answer body that is kept in the row itself, in bytes.
+const ROW_BODY: usize = 16 << 10;
+
+/// The longest idempotency key, in bytes.
+const LONGEST_KEY: usize = 256;
+
+/// Stands in the answer to a repeat.
+const REPLAYED: HeaderName = HeaderName::from_static("x-replayed");
+
+/// Where requests leave their claims.
+#[derive(Debug)]
+pub struct Writer {
+    inserts: mpsc::Sender<Insert>,
+    settlements: mpsc::Sender<Settlement>,
+    unsettled: Arc<AtomicUsize>,
+}
+
+impl Writer {
+    /// Claims whose outcome is known here and not yet in the table.
+    pub fn unsettled(&self) -> usize {
+        self.unsettled.load(Ordering::Acquire)
+    }
+}
+
+/// Where the writing tasks find them.
+#[derive(Debug)]
+pub struct Inbox {
+    inserts: mpsc::Receiver<Insert>,
+    settlements: mpsc::Receiver<Settlement>,
+    unsettled: Arc<AtomicUsize>,
+}
+
+/// A claim that is to be inserted.
+#[derive(Debug)]
+struct Insert {
+    key: String,
+    claim: Claim,
+    reply: oneshot::Sender<Result<Verdict, PlatformError>>,
+}
+
+/// What became of a claimed request; without a state the claim is released.
+#[derive(Debug, Clone)]
+struct Settlement {
+    key: String,
+    token: Token,
+    state: Option<State>,
+}
+
+/// Makes the two ends of the queue.
+pub fn channel() -> (Writer, Inbox) {
+    let (inserts, insert_inbox) = mpsc::channel(QUEUE);
+    let (settlements, settlement_inbox) = mpsc::channel(QUEUE);
+    let unsettled = Arc::new(AtomicUsize::new(0));
+    let inbox = Inbox {
+        inserts: insert_inbox,
+        settlements: settlement_inbox,
+        unsettled: Arc::clone(&unsettled),
+    };
+    (Writer { inserts, settlements, unsettled }, inbox)
+}
+
+/// Runs a non-idempotent call at most once, or gives the answer of its first run.
+///
+/// The work goes on when the caller goes away, so that the claim is settled with what happened.
+pub async fn send_once(board: &Arc<Board>, call: Call, ledger: Arc<Ledger>) -> Answer {
+    let request = call.envelope.request;
+    let key = call.message.headers.get(message::IDEMPOTENCY).cloned();
+    let Some(key) = key else {
+        return Answer::not_run(request, Reason::MissingIdempotencyKey);
+    };
+    if key.is_empty() || key.len() > LONGEST_KEY {
+        let problem = format!("the idempotency key must have 1 to {LONGEST_KEY} bytes");
+        return Answer::not_run(request, Reason::BadRequest { problem });
+    }
+    let key = claim::row_key(call.envelope.customer.as_deref(), key.as_bytes());
+    let board = Arc::clone(board);
+    let in_flight = InFlight::count(&board);
+    let task = tokio::spawn(async move {
+        let _in_flight = in_flight;
+        claim_and_send(&board, call, &key, &ledger).await
+    });
+    task.await.unwrap_or_else(|_| {
+        let problem = "the daemon failed on this request".to_owned();
+        Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem })
+    })
+}
+
+async fn claim_and_send(board: &Arc<Board>, call: Call, key: &str, ledger: &Ledger) -> Answer {
+    let request = call.envelope.request;
+    let claim = Claim {
+        token: Token::random(&mut rand::rng()),
+        digest: digest(&call),
+        request: request.to_string(),
+        vm: board.settings.vm.clone(),
+        created: unix_seconds(),
+        state: State::Pending,
+    };
+    let token = claim.token;
+    match obtain(board, &call, key, claim).await {
+        Ok(Verdict::Own) => {}
+        Ok(Verdict::Replay(stored)) => return replay(board, &call, stored).await,
+        Ok(Verdict::Mismatch) => return Answer::not_run(request, Reason::IdempotencyMismatch),
+        Ok(Verdict::Unknown) => {
+            return Answer::refusal(request, Outcome::Unknown, Reason::ClaimUnknown);
+        }
+        Ok(Verdict::Pending | Verdict::Vacant) => {
+            return Answer::refusal(request, Outcome::Unknown, Reason::ClaimPending);
+        }
+        Err(_) => {
+            // The insert may still have taken effect, so whatever stands there is released.
+            settle(board, key, token, None).await;
+            return Answer::not_run(request, Reason::ClaimUnavailable);
+        }
+    }
+    let answer = forward::send(board, &call, ledger).await;
+    let state = match answer.report.outcome {
+        Outcome::NotRun => None,
+        Outcome::Unknown => Some(State::Unknown),
+        Outcome::Ran => Some(State::Done(store(board, token, &answer).await)),
+    };
+    settle(board, key, token, state).await;
+    answer
+}
+
+/// Obtains a claim, or waits within the deadline for the answer of the request that has it.
+async fn obtain(
+    board: &Board,
+    call: &Call,
+    key: &str,
+    claim: Claim,
+) -> Result<Verdict, PlatformError> {
+    let (token, digest) = (claim.token, claim.digest);
+    let end = call.deadline.min(board.clock.now() + CLAIM_TIME);
+    let left = end.since(board.clock.now());
+    let (reply, answer) = oneshot::channel();
+    let insert = Insert { key: key.to_owned(), claim, reply };
+    let closed = || PlatformError::Unavailable("this VM is stopping".to_owned());
+    board.claims.inserts.send(insert).await.map_err(|_| closed())?;
+    let late = || PlatformError::AnswerLost("no answer within the deadline".to_owned());
+    let answer = tokio::time::timeout(left, answer).await.map_err(|_| late())?;
+    let mut verdict = answer.map_err(|_| closed())??;
+    while verdict == Verdict::Pending && board.clock.now() + LOOK_PAUSE < call.deadline {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        let Ok(row) = board.platform.row(key).await else { continue };
+        let seen: Option<Claim> = row.as_ref().and_then(Row::decode);
+        verdict = claim::judge(seen.as_ref(), token, digest);
+    }
+    Ok(verdict)
+}
+
+/// The digest of what the request does: the same key must come with the same method, path and body.
+fn digest(call: &Call) -> Digest {
+    let message = &call.message;
+    let mut bytes = message.method.as_str().as_bytes().to_vec();
+    bytes.push(0);
+    bytes.extend_from_slice(message.uri.to_string().as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(&message.body);
+    Digest::of(&bytes)
+}
+
+async fn settle(board: &Board, key: &str, token: Token, state: Option<State>) {
+    let settlement = Settlement { key: key.to_owned(), token, state };
+    board.claims.unsettled.fetch_add(1, Ordering::AcqRel);
+    let _ = board.claims.settlements.send(settlement).await;
+}
+
+async fn store(board: &Board, token: Token, answer: &Answer) -> Stored {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.to_string(),
+        value: String::from_utf8_lossy(value.as_bytes()).into_owned(),
+    };
+    let body = if answer.body.len() <= ROW_BODY {
+        StoredBody::Row(STANDARD.encode(&answer.body))
+    } else {
+        let name = format!("answer-{token}");
+        while board.platform.put_object(&name, answer.body.clone()).await.is_err() {
+            if board.is_leaving() {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        StoredBody::Object(name)
+    };
+    Stored {
+        status: answer.status.as_u16(),
+        headers: answer.headers.iter().map(header).collect(),
+        body,
+    }
+}
+
+async fn replay(board: &Board, call: &Call, stored: Stored) -> Answer {
+    let request = call.envelope.request;
+    let body = match &stored.body {
+        StoredBody::Row(text) => STANDARD.decode(text).ok().map(Bytes::from),
+        StoredBody::Object(name) => board.platform.object(name).await.ok().flatten(),
+    };
+    let Some(body) = body else {
+        return Answer::refusal(request, Outcome::Ran, Reason::ClaimUnavailable);
+    };
+    let mut headers = HeaderMap::new();
+    for header in stored.headers {
+        let name = HeaderName::try_from(header.name);
+        let value = HeaderValue::try_from(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(REPLAYED, HeaderValue::from_static("true"));
+    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+    let report = Report {
+        request,
+        outcome: Outcome::Ran,
+        spent: 0,
+        load: Load::default(),
+        reason: None,
+        reach: Vec::new(),
+    };
+    Answer { status, headers, body, report }
+}
+
+/// Writes claims and settlements until the daemon ends.
+pub async fn run(board: Arc<Board>, inbox: Inbox) {
+    let Inbox { inserts, settlements, unsettled } = inbox;
+    tokio::join!(
+        write_inserts(&board.platform, inserts),
+        write_settlements(&board.platform, settlements, &unsettled)
+    );
+}
+
+async fn write_inserts(platform: &Client, mut inbox: mpsc::Receiver<Insert>) {
+    let mut batch = Vec::with_capacity(BATCH);
+    while inbox.recv_many(&mut batch, BATCH).await > 0 {
+        let mut waiting = std::mem::take(&mut batch);
+        // Two claims for one row cannot stand in one transaction.
+        while !waiting.is_empty() {
+            let (now, later) = unique_keys(waiting);
+            insert_batch(platform, now).await;
+            waiting = later;
+        }
+    }
+}
+
+fn unique_keys(batch: Vec<Insert>) -> (Vec<Insert>, Vec<Insert>) {
+    let mut seen = std::collections::BTreeSet::new();
+    batch.into_iter().partition(|insert| seen.insert(insert.key.clone()))
+}
+
+/// Inserts claims until each has a verdict or its request has given up.
+async fn insert_batch(platform: &Client, mut batch: Vec<Insert>) {
+    loop {
+        batch.retain(|insert| !insert.reply.is_closed());
+        if batch.is_empty() {
+            return;
+        }
+        let add =
+            |transaction, insert: &Insert| claim::insert(transaction, &insert.key, &insert.claim);
+        let transaction = batch.iter().fold(Transaction::default(), add);
+        match platform.commit(&transaction).await {
+            Ok(Commit::Done(_)) => {
+                for insert in batch {
+                    let _ = insert.reply.send(Ok(Verdict::Own));
+                }
+                return;
+            }
+            Ok(Commit::Conflict(_)) | Err(PlatformError::AnswerLost(_)) => {
+                batch = read_back(platform, batch).await;
+            }
+            Err(error @ PlatformError::Refused(_)) => {
+                for insert in batch {
+                    let _ = insert.reply.send(Err(error.clone()));
+                }
+                return;
+            }
+            Err(PlatformError::Unavailable(_) | PlatformError::BreakerOpen) => {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers the claims whose rows exist, and returns those that are still to be inserted.
+async fn read_back(platform: &Client, batch: Vec<Insert>) -> Vec<Insert> {
+    let keys = batch.iter().map(|insert| insert.key.clone()).collect();
+    let Ok(rows) = platform.rows(keys).await else {
+        tokio::time::sleep(PAUSE).await;
+        return batch;
+    };
+    let rows: BTreeMap<String, Claim> =
+        rows.iter().filter_map(|row| Some((row.key.clone(), row.decode()?))).collect();
+    let mut left = Vec::new();
+    for insert in batch {
+        let verdict = claim::judge(rows.get(&insert.key), insert.claim.token, insert.claim.digest);
+        match verdict {
+            Verdict::Vacant => left.push(insert),
+            verdict => drop(insert.reply.send(Ok(verdict))),
+        }
+    }
+    left
+}
+
+async fn write_settlements(
+    platform: &Client,
+    mut inbox: mpsc::Receiver<Settlement>,
+    unsettled: &AtomicUsize,
+) {
+    let mut waiting = Vec::with_capacity(BATCH);
+    loop {
+        // What waits is tried again together with what came in the meantime.
+        let more = if waiting.is_empty() {
+            inbox.recv_many(&mut waiting, BATCH).await
+        } else {
+            drain(&mut inbox, &mut waiting)
+        };
+        if waiting.is_empty() && more == 0 {
+            return;
+        }
+        let count = waiting.len();
+        waiting = settle_batch(platform, waiting).await;
+        unsettled.fetch_sub(count - waiting.len(), Ordering::AcqRel);
+    }
+}
+
+fn drain(inbox: &mut mpsc::Receiver<Settlement>, waiting: &mut Vec<Settlement>) -> usize {
+    let before = waiting.len();
+    while waiting.len() < BATCH {
+        let Ok(settlement) = inbox.try_recv() else { break };
+        waiting.push(settlement);
+    }
+    waiting.len() - before
+}
+
+/// Settles what can be settled in one write, and returns what has to be tried again.
+async fn settle_batch(platform: &Client, batch: Vec<Settlement>) -> Vec<Settlement> {
+    let keys = batch.iter().map(|settlement| settlement.key.clone()).collect();
+    let Ok(rows) = platform.rows(keys).await else {
+        tokio::time::sleep(PAUSE).await;
+        return batch;
+    };
+    let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
+    let mut transaction = Transaction::default();
+    let mut written = Vec::new();
+    for settlement in batch {
+        let row = rows.get(settlement.key.as_str());
+        let Some(step) = row.and_then(|row| settlement.step(row)) else { continue };
+        transaction.checks.extend(step.checks);
+        transaction.writes.extend(step.writes);
+        written.push(settlement);
+    }
+    if written.is_empty() {
+        return written;
+    }
+    match platform.commit(&transaction).await {
+        Ok(Commit::Done(_)) => Vec::new(),
+        Ok(Commit::Conflict(_)) => written,
+        Err(_) => {
+            tokio::time::sleep(PAUSE).await;
+            written
+        }
+    }
+}
+
+impl Settlement {
+    /// The write that settles the claim in `row`; `None` when that is done or no longer this claim.
+    fn step(&self, row: &Row) -> Option<Transaction> {
+        let claim: Claim = row.decode()?;
+        match &self.state {
+            Some(state) if claim.state == *state => None,
+            Some(state) => claim::settle(&self.key, row, self.token, state.clone()),
+            None => claim::release(&self.key, row, self.token),
+        }
+    }
+}
+
+/// Seconds since 1970, for operators to read. No decision about time depends on it.
+pub fn unix_seconds() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,253 @@
+//! Requests from callers: key, route, rate, and the way to the service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, HeaderValue};
+use hyper::body::Incoming;
+use rand::Rng;
+
+use crate::board::{Board, CustomerShare, InFlight};
+use crate::claims;
+use crate::control;
+use crate::document::{CustomerId, Policy, Route};
+use crate::envelope::{Envelope, RequestId};
+use crate::forward::{self, Call};
+use crate::journal;
+use crate::key::Digest;
+use crate::level;
+use crate::message::{self, Answer, Message, Response};
+use crate::metrics::RequestLabels;
+use crate::reason::{Outcome, Reason};
+use crate::retry::Ledger;
+use crate::time::Time;
+
+/// How many owners are asked for a token before a request is refused.
+const MOST_LENDERS: usize = 3;
+
+/// How much of an unmatched path is repeated in its refusal, in characters.
+const PATH_SHOWN: usize = 100;
+
+/// Answers one request of a caller.
+pub async fn handle(board: Arc<Board>, request: http::Request<Incoming>) -> Response {
+    let _in_flight = InFlight::count(&board);
+    let start = board.clock.now();
+    let id = RequestId::random(&mut rand::rng());
+    let policy = board.policy.load_full();
+    let mut visit = Visit { id, start, route: None, customer: None };
+    let answer = match admit(&board, &policy, &mut visit, request).await {
+        Ok(message) => pass(&board, &policy, &visit, message).await,
+        Err(reason) => Answer::not_run(id, reason),
+    };
+    conclude(&board, &policy, &visit, &answer);
+    answer.into_response()
+}
+
+/// What is known about a request while it enters.
+struct Visit<'a> {
+    id: RequestId,
+    start: Time,
+    route: Option<&'a Route>,
+    customer: Option<CustomerId>,
+}
+
+/// Decides whether a request enters, and reads all of it.
+async fn admit<'a>(
+    board: &Board,
+    policy: &'a Policy,
+    visit: &mut Visit<'a>,
+    request: http::Request<Incoming>,
+) -> Result<Message, Reason> {
+    if policy.version == 0 {
+        return Err(Reason::NoDocument);
+    }
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path();
+    let Some(route) = policy.route(parts.method.as_str(), path) else {
+        return Err(Reason::UnknownRoute { path: path.chars().take(PATH_SHOWN).collect() });
+    };
+    let route = policy.route_at(route);
+    visit.route = Some(route);
+    visit.customer = identify(policy, route, &parts.headers)?;
+    if let Some(customer) = visit.customer {
+        check_isolation(board, policy, customer)?;
+    }
+    check_cuts(board, route)?;
+    let limit = policy.limits.request_bytes;
+    let body = tokio::time::timeout(route.deadline, message::collect(body, limit)).await;
+    let body = body.unwrap_or_else(|_| Err("the body did not arrive in time".to_owned()));
+    let body = body.map_err(|problem| Reason::BadRequest { problem })?;
+    if let Some(customer) = visit.customer {
+        take_token(board, policy, customer).await?;
+    }
+    let mut headers = parts.headers;
+    message::pass_on(&mut headers);
+    Ok(Message { method: parts.method, uri: parts.uri, headers, body })
+}
+
+/// Finds the customer whose key came with the request. The key itself goes no further.
+fn identify(
+    policy: &Policy,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<CustomerId>, Reason> {
+    let bearer = || {
+        let value = headers.get(AUTHORIZATION)?.as_bytes();
+        value.strip_prefix(b"Bearer ").map(<[u8]>::trim_ascii)
+    };
+    let key = headers.get(message::KEY).map(HeaderValue::as_bytes).or_else(bearer);
+    let customer = key.and_then(|key| policy.authenticate(&Digest::of(key)));
+    match (customer, key) {
+        (Some(customer), _) => Ok(Some(customer)),
+        (None, _) if route.open => Ok(None),
+        (None, Some(_)) => Err(Reason::UnknownKey),
+        (None, None) => Err(Reason::MissingKey),
+    }
+}
+
+/// While this failure domain is cut off, a withdrawn key cannot be known, so service is bounded.
+fn check_isolation(board: &Board, policy: &Policy, customer: CustomerId) -> Result<(), Reason> {
+    let Some(span) = board.isolated_for() else { return Ok(()) };
+    let bound = Duration::from_secs(policy.limits.isolation_s);
+    if span < bound && !policy.customer(customer).refuse_isolated {
+        return Ok(());
+    }
+    Err(Reason::Isolated { seconds: span.as_secs() })
+}
+
+/// Refuses here what a service on the route's way would refuse later.
+fn check_cuts(board: &Board, route: &Route) -> Result<(), Reason> {
+    let tables = board.tables.load();
+    let Some(reach) = tables.routes.get(&route.name) else { return Ok(()) };
+    let now = board.clock.now();
+    let highest = reach
+        .services()
+        .iter()
+        .filter_map(|name| Some((tables.services.get(name)?.cut.at(now), name.clone())))
+        .max_by(|a, b| a.0.total_cmp(&b.0));
+    let Some((cut, service)) = highest else { return Ok(()) };
+    if cut <= 0.0 || !level::refuses(cut, route.importance, rand::rng().random()) {
+        return Ok(());
+    }
+    let refused = (level::refused_share(cut, route.importance) * 100.0) as u64;
+    Err(Reason::Overloaded { service, refused })
+}
+
+/// Takes a token of this VM's share, or borrows one from another owner.
+async fn take_token(board: &Board, policy: &Policy, customer: CustomerId) -> Result<(), Reason> {
+    let share = board.tables.load().shares.get(&customer).cloned();
+    let customer = policy.customer(customer);
+    let over = |wait: Duration| Reason::OverRate {
+        rate: customer.rate,
+        wait: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).clamp(1, 60_000),
+    };
+    let Some(share) = share else { return Err(Reason::UnknownKey) };
+    let now = board.clock.now();
+    let taken = share.holding().take(now);
+    let Err(wait) = taken else { return Ok(()) };
+    if borrow(board, &share, &customer.name, now).await {
+        board.metrics.borrowed.inc();
+        return Ok(());
+    }
+    let fleet_wait = Duration::from_secs_f64(1.0 / customer.rate);
+    Err(over(wait.min(Duration::from_secs(60)).max(fleet_wait)))
+}
+
+async fn borrow(board: &Board, share: &CustomerShare, customer: &str, now: Time) -> bool {
+    if !share.may_borrow(now) {
+        return false;
+    }
+    let lenders = share.lenders.load_full();
+    let addresses: Vec<_> = board.read_view(|view| {
+        let members = lenders.iter().filter_map(|vm| view.get(vm));
+        let reachable = members.filter(|member| !member.record.suspect);
+        reachable.map(|member| member.record.control).take(MOST_LENDERS).collect()
+    });
+    for address in addresses {
+        if control::borrow(board, address, customer).await {
+            return true;
+        }
+    }
+    share.pause_borrowing(board.clock.now());
+    false
+}
+
+/// Passes an admitted request to its service.
+async fn pass(board: &Arc<Board>, policy: &Policy, visit: &Visit<'_>, message: Message) -> Answer {
+    let Some(route) = visit.route else {
+        return Answer::not_run(visit.id, Reason::NoDocument);
+    };
+    let customer = visit.customer.map(|id| policy.customer(id).name.clone());
+    let envelope = Envelope {
+        request: visit.id,
+        customer,
+        route: route.name.clone(),
+        importance: route.importance,
+        left: 0,
+        allowed: route.deadline.as_millis() as u64,
+        allowance: 0,
+        hops: 0,
+        domain: board.settings.failure_domain.clone(),
+        service: policy.service(route.service).name.clone(),
+        claimed: !route.idempotent,
+    };
+    let call = Call {
+        envelope,
+        message,
+        service: route.service,
+        idempotent: route.idempotent,
+        deadline: visit.start + route.deadline,
+    };
+    let ledger = Arc::new(Ledger::new(route.retries));
+    let answer = if route.idempotent {
+        forward::send(board, &call, &ledger).await
+    } else {
+        claims::send_once(board, call, ledger).await
+    };
+    board.learn(&route.name, &answer.report.reach);
+    answer
+}
+
+/// Counts the request, and writes down why it was not served.
+fn conclude(board: &Board, policy: &Policy, visit: &Visit<'_>, answer: &Answer) {
+    let customer = visit.customer.map(|id| policy.customer(id).name.as_str());
+    let reason = answer.report.reason.as_ref();
+    let outcome = answer.report.outcome;
+    let labels = RequestLabels {
+        route: visit.route.map(|route| route.name.clone()).unwrap_or_default(),
+        customer: customer.unwrap_or_default().to_owned(),
+        importance: visit.route.map_or("", |route| route.importance.as_str()),
+        outcome: outcome.as_str(),
+        reason: reason.map_or("", Reason::code),
+    };
+    board.metrics.requests.get_or_create(&labels).inc();
+    let span = board.clock.now().since(visit.start);
+    board.metrics.seconds.observe(span.as_secs_f64());
+    let Some(reason) = reason else { return };
+    log(board, visit, &labels, outcome, reason, span);
+    let entry = journal::Entry::new(&visit.id, &board.settings.vm, "entry", outcome);
+    board.journal.note(entry.customer(customer), reason);
+}
+
+fn log(
+    board: &Board,
+    visit: &Visit<'_>,
+    labels: &RequestLabels,
+    outcome: Outcome,
+    reason: &Reason,
+    span: Duration,
+) {
+    tracing::info!(
+        event = "refused",
+        vm = board.settings.vm,
+        request = %visit.id,
+        route = labels.route,
+        customer = labels.customer,
+        importance = labels.importance,
+        outcome = outcome.as_str(),
+        reason = reason.code(),
+        detail = %reason,
+        ms = span.as_millis() as u64,
+    );
+}
--- /dev/null
+++ b/src/envelope.rs
@@ -0,0 +1,119 @@
+//! What daemons tell each other about a request and its answer.
+//!
+//! Both messages are signed with the fleet key, so that neither a caller nor a backend server can forge
+//! a customer, an importance or a `not-run`. docs/DESIGN.md, "Envelope", lists what was weighed.
+
+use std::fmt;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::document::Importance;
+use crate::reason::{Outcome, Reason};
+
+macro_rules! random_name {
+    ($(#[$doc:meta] $name:ident),*) => {$(
+        #[$doc]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        pub struct $name(u128);
+
+        impl $name {
+            /// Draws a new name, unguessable when `rng` is.
+            pub fn random(rng: &mut impl Rng) -> Self {
+                Self(rng.random())
+            }
+
+            /// Reads the form that stands in headers: 32 hexadecimal digits.
+            pub fn parse(text: &str) -> Option<Self> {
+                let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+                digits.then(|| u128::from_str_radix(text, 16).ok().map(Self)).flatten()
+            }
+        }
+
+        impl $name {
+            /// The lowest bits, for dividing names between places.
+            pub const fn low_bits(self) -> usize {
+                self.0 as usize
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+    )*};
+}
+
+random_name! {
+    /// Names one request through all its hops.
+    RequestId,
+    /// Lets a backend server call on for the request that it runs; only the local daemon knows it.
+    Token
+}
+
+/// What goes with a request from daemon to daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The request's name.
+    pub request: RequestId,
+    /// The customer that it runs for; `None` on a route open to all.
+    pub customer: Option<String>,
+    /// The route at which it entered.
+    pub route: String,
+    /// The importance of that route.
+    pub importance: Importance,
+    /// What is left of the deadline, in microseconds.
+    pub left: u64,
+    /// The whole time that the request had, in milliseconds.
+    pub allowed: u64,
+    /// Retries that this attempt and all below it may spend.
+    pub allowance: u32,
+    /// Hops behind the request; 0 on its way from the entry.
+    pub hops: u32,
+    /// The failure domain at which it entered.
+    pub domain: String,
+    /// The service that is to run it.
+    pub service: String,
+    /// Whether a claim makes sure that the request runs at most once.
+    pub claimed: bool,
+}
+
+/// The load of one instance when it answered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that hold a slot.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub queued: u32,
+    /// Slots in use at most.
+    pub slots: u32,
+    /// How much of the less important work the service refuses now; see [`crate::level`].
+    pub cut: f32,
+}
+
+/// What goes with an answer from daemon to daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The request that this answers. A crossed answer does not pass.
+    pub request: RequestId,
+    /// Whether a backend server ran it.
+    pub outcome: Outcome,
+    /// Retries that were spent of the envelope's allowance.
+    pub spent: u32,
+    /// The answering instance's load.
+    pub load: Load,
+    /// Why it was refused.
+    pub reason: Option<Reason>,
+    /// Services that the request reached below, with the cut of each.
+    pub reach: Vec<Reach>,
+}
+
+/// A service that a request reached, and how much it refuses now.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reach {
+    /// The service's name.
+    pub service: String,
+    /// Its cut; see [`crate::level`].
+    pub cut: f32,
+}
--- /dev/null
+++ b/src/gate.rs
@@ -0,0 +1,186 @@
+//! The guard as tasks see it: they wait for a slot without holding a lock.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::envelope::Load;
+use crate::guard::{Guard, Offer, Released, Ticket, Work};
+use crate::level::Level;
+use crate::reason::Reason;
+use crate::sync::lock;
+use crate::time::{Clock, Time};
+
+/// Admission to the local backend server.
+#[derive(Debug)]
+pub struct Gate {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    guard: Guard,
+    level: Level,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Option<Reason>>>,
+}
+
+impl Gate {
+    /// Makes a gate without slots.
+    pub fn new(clock: Clock, longest_wait: Duration) -> Self {
+        let state = State {
+            guard: Guard::new(longest_wait),
+            level: Level::new(),
+            waiters: BTreeMap::new(),
+        };
+        Self { clock, state: Mutex::new(state) }
+    }
+
+    /// Waits for a slot.
+    ///
+    /// Dropping the future takes the request out of the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was refused; no byte of it has reached the backend server.
+    pub async fn enter(self: &Arc<Self>, work: Work) -> Result<Permit, Reason> {
+        let now = self.clock.now();
+        let (ticket, answer) = {
+            let mut state = self.lock();
+            let (offer, released) = state.guard.offer(work, now);
+            state.level.note(matches!(offer, Offer::Refuse(_)));
+            state.deliver(released);
+            match offer {
+                Offer::Run(_) => return Ok(self.permit(now)),
+                Offer::Refuse(reason) => return Err(reason),
+                Offer::Wait(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiters.insert(ticket, sender);
+                    (ticket, receiver)
+                }
+            }
+        };
+        let place = Place { gate: self, ticket, answer: Some(answer) };
+        place.wait(work.deadline).await
+    }
+
+    /// Sets the slots, as the backend server announces them.
+    pub fn set_slots(&self, slots: usize) {
+        let mut state = self.lock();
+        let released = state.guard.set_slots(slots);
+        state.deliver(released);
+    }
+
+    /// Sets the bound on the wait, as the document says.
+    pub fn set_longest_wait(&self, longest_wait: Duration) {
+        self.lock().guard.set_longest_wait(longest_wait);
+    }
+
+    /// The load now.
+    pub fn load(&self) -> Load {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        Load {
+            in_flight: state.guard.in_flight() as u32,
+            queued: state.guard.queued() as u32,
+            slots: state.guard.slots() as u32,
+            cut: state.level.cut(now),
+        }
+    }
+
+    fn permit(self: &Arc<Self>, since: Time) -> Permit {
+        Permit { gate: Arc::clone(self), since, whole: false }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+impl State {
+    /// Tells the tasks whose wait ended. A slot for a task that has gone passes to the next one.
+    fn deliver(&mut self, released: Released) {
+        for (ticket, reason) in released.shed {
+            self.level.note(true);
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                let _ = waiter.send(Some(reason));
+            }
+        }
+        let mut start = released.start;
+        while let Some(ticket) = start.pop() {
+            let told = self.waiters.remove(&ticket).map(|waiter| waiter.send(None));
+            if !matches!(told, Some(Ok(()))) {
+                start.extend(self.guard.finish(None).start);
+            }
+        }
+    }
+}
+
+/// One task's place in the queue, given up when the task goes away.
+struct Place<'a> {
+    gate: &'a Arc<Gate>,
+    ticket: Ticket,
+    answer: Option<oneshot::Receiver<Option<Reason>>>,
+}
+
+impl Place<'_> {
+    async fn wait(mut self, deadline: Time) -> Result<Permit, Reason> {
+        let left = deadline.since(self.gate.clock.now());
+        let Some(answer) = self.answer.as_mut() else { return Err(Reason::Leaving) };
+        let answer = tokio::time::timeout(left, answer).await;
+        match answer {
+            Ok(Ok(None)) => {
+                self.answer = None;
+                Ok(self.gate.permit(self.gate.clock.now()))
+            }
+            Ok(Ok(Some(reason))) => {
+                self.answer = None;
+                Err(reason)
+            }
+            Ok(Err(_)) => Err(Reason::Leaving),
+            Err(_) => Err(Reason::DeadlinePassed { allowed: left.as_millis() as u64 }),
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let Some(mut answer) = self.answer.take() else { return };
+        let mut state = self.gate.lock();
+        state.waiters.remove(&self.ticket);
+        if state.guard.cancel(self.ticket) {
+            return;
+        }
+        // The slot was given between the end of the wait and this drop.
+        if let Ok(None) = answer.try_recv() {
+            let released = state.guard.finish(None);
+            state.deliver(released);
+        }
+    }
+}
+
+/// A slot of the backend server, given back on drop.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<Gate>,
+    since: Time,
+    whole: bool,
+}
+
+impl Permit {
+    /// Notes that the backend server answered, so that the time counts as its service time.
+    pub fn complete(&mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let service = self.gate.clock.now().since(self.since);
+        let mut state = self.gate.lock();
+        let released = state.guard.finish(self.whole.then_some(service));
+        state.deliver(released);
+    }
+}
--- /dev/null
+++ b/src/guard.rs
@@ -0,0 +1,353 @@
+//! Admission to the slots of one backend server.
+//!
+//! The guard holds as many requests in flight as the backend server has slots. Others wait in a queue
+//! that is bounded by time: a request whose predicted wait leaves too little of its deadline is
+//! refused at once. The order is importance, then begun work before new work, then start-time fair
+//! queueing between customers. All of it is pure. docs/DESIGN.md, "Guard", weighs the other ways.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::document::{CustomerId, Importance};
+use crate::reason::Reason;
+use crate::time::Time;
+
+/// The service time that the guard assumes before the first request has finished.
+const INITIAL_SERVICE: Duration = Duration::from_millis(10);
+
+/// How much one finished request moves the mean service time.
+const MEAN_GAIN: f64 = 0.05;
+
+/// One weight unit of [`Work::weight`], so that tags keep their precision as integers.
+const WEIGHT_UNIT: u64 = 64;
+
+/// Names one request while it waits or runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+/// What the guard needs to know about a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    /// The customer that the request runs for.
+    pub customer: CustomerId,
+    /// The customer's weight between customers, 1 or more.
+    pub weight: u32,
+    /// The importance that the entry route gave it.
+    pub importance: Importance,
+    /// Whether work was already done for it at an earlier hop.
+    pub begun: bool,
+    /// When its caller stops waiting.
+    pub deadline: Time,
+}
+
+/// The guard's answer to an offered request.
+#[derive(Debug, PartialEq)]
+pub enum Offer {
+    /// A slot is free: run now.
+    Run(Ticket),
+    /// Wait until the ticket is started or dropped.
+    Wait(Ticket),
+    /// Refused, and no byte of it may reach the backend server.
+    Refuse(Reason),
+}
+
+/// Tickets whose wait ended because of one event.
+#[derive(Debug, Default, PartialEq)]
+pub struct Released {
+    /// Tickets that now hold a slot.
+    pub start: Vec<Ticket>,
+    /// Tickets that lost their place.
+    pub shed: Vec<(Ticket, Reason)>,
+}
+
+/// The admission state of one backend server.
+#[derive(Debug)]
+pub struct Guard {
+    slots: usize,
+    in_flight: usize,
+    longest_wait: Duration,
+    mean_service: f64,
+    classes: BTreeMap<Rank, Class>,
+    waiting: BTreeMap<Ticket, Place>,
+    next: u64,
+}
+
+impl Guard {
+    /// Makes a guard with no slots, so that nothing runs before the backend server announces itself.
+    ///
+    /// `longest_wait` bounds the queue by time, whatever the deadlines are.
+    pub fn new(longest_wait: Duration) -> Self {
+        Self {
+            slots: 0,
+            in_flight: 0,
+            longest_wait,
+            mean_service: INITIAL_SERVICE.as_secs_f64(),
+            classes: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Requests that hold a slot.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Slots in use at most.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
+    /// The mean service time, weighted towards recent requests.
+    pub fn mean_service(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_service)
+    }
+
+    /// Changes the bound on the wait, when a new document sets another.
+    pub fn set_longest_wait(&mut self, longest_wait: Duration) {
+        self.longest_wait = longest_wait;
+    }
+
+    /// Changes the number of slots, and starts waiting work that now fits.
+    pub fn set_slots(&mut self, slots: usize) -> Released {
+        self.slots = slots;
+        Released { start: self.start_waiting(), shed: Vec::new() }
+    }
+
+    /// Offers a request. Tickets in [`Released::shed`] lost their place to it.
+    pub fn offer(&mut self, work: Work, now: Time) -> (Offer, Released) {
+        let none = Released::default();
+        if self.slots == 0 {
+            return (Offer::Refuse(Reason::NotReady), none);
+        }
+        if self.in_flight < self.slots && self.waiting.is_empty() {
+            self.in_flight += 1;
+            return (Offer::Run(self.issue()), none);
+        }
+        if let Some(reason) = self.late(&work, now) {
+            return (Offer::Refuse(reason), none);
+        }
+        let ticket = self.enqueue(&work);
+        let mut shed = self.shed_excess();
+        if let Some(at) = shed.iter().position(|(lost, _)| *lost == ticket) {
+            let (_, reason) = shed.swap_remove(at);
+            return (Offer::Refuse(reason), Released { start: Vec::new(), shed });
+        }
+        (Offer::Wait(ticket), Released { start: self.start_waiting(), shed })
+    }
+
+    /// Ends a request that held a slot for `service`, and starts the next.
+    ///
+    /// A cancelled request passes `None`, because its time says nothing about the service time.
+    pub fn finish(&mut self, service: Option<Duration>) -> Released {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(service) = service {
+            self.mean_service += MEAN_GAIN * (service.as_secs_f64() - self.mean_service);
+        }
+        Released { start: self.start_waiting(), shed: Vec::new() }
+    }
+
+    /// Takes a waiting request out of the queue. Returns whether it was still waiting.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let Some(place) = self.waiting.remove(&ticket) else { return false };
+        self.take_out(place.rank, place.tag, ticket, place.customer);
+        true
+    }
+
+    fn issue(&mut self) -> Ticket {
+        self.next += 1;
+        Ticket(self.next)
+    }
+
+    fn late(&self, work: &Work, now: Time) -> Option<Reason> {
+        let wait = self.predicted_wait(work);
+        let needed = wait + self.mean_service();
+        let left = work.deadline.since(now);
+        if needed <= left && wait <= self.longest_wait {
+            return None;
+        }
+        Some(Reason::QueueDelay { wait: millis(needed), left: millis(left) })
+    }
+
+    /// Predicts the wait from the work that would run first.
+    ///
+    /// In the request's own class, fair queueing serves the distance between its tag and the virtual
+    /// time once for each unit of weight, and never more than what is queued.
+    fn predicted_wait(&self, work: &Work) -> Duration {
+        let rank = Rank::of(work);
+        let better: usize = self.classes.range(..rank).map(|(_, class)| class.len()).sum();
+        let own = self.classes.get(&rank).map_or(0.0, |class| class.ahead_of(work));
+        let rounds = (better as f64 + own) / self.slots as f64;
+        Duration::from_secs_f64(rounds * self.mean_service)
+    }
+
+    fn enqueue(&mut self, work: &Work) -> Ticket {
+        let ticket = self.issue();
+        let rank = Rank::of(work);
+        let tag = self.classes.entry(rank).or_default().push(ticket, work);
+        self.waiting.insert(ticket, Place { rank, tag, customer: work.customer });
+        ticket
+    }
+
+    /// Sheds from the least important class, and there from the customer that holds most.
+    fn shed_excess(&mut self) -> Vec<(Ticket, Reason)> {
+        let bound = self.queue_bound();
+        let mut shed = Vec::new();
+        while self.waiting.len() > bound {
+            let reason =
+                Reason::Displaced { queued: self.waiting.len() as u64, slots: self.slots as u64 };
+            let Some((_, class)) = self.classes.iter().next_back() else { break };
+            let Some((_, ticket)) = class.victim() else { break };
+            self.cancel(ticket);
+            shed.push((ticket, reason));
+        }
+        shed
+    }
+
+    fn queue_bound(&self) -> usize {
+        let rounds = self.longest_wait.as_secs_f64() / self.mean_service.max(1e-6);
+        ((rounds * self.slots as f64) as usize).max(self.slots)
+    }
+
+    fn start_waiting(&mut self) -> Vec<Ticket> {
+        let mut start = Vec::new();
+        while self.in_flight < self.slots {
+            let Some(ticket) = self.pop() else { break };
+            self.in_flight += 1;
+            start.push(ticket);
+        }
+        start
+    }
+
+    fn pop(&mut self) -> Option<Ticket> {
+        let (&rank, class) = self.classes.iter_mut().next()?;
+        let (tag, ticket, customer) = class.first()?;
+        class.virtual_time = tag;
+        self.waiting.remove(&ticket);
+        self.take_out(rank, tag, ticket, customer);
+        Some(ticket)
+    }
+
+    fn take_out(&mut self, rank: Rank, tag: u64, ticket: Ticket, customer: CustomerId) {
+        let Some(class) = self.classes.get_mut(&rank) else { return };
+        class.remove(tag, ticket, customer);
+        if class.len() == 0 {
+            self.classes.remove(&rank);
+        }
+    }
+}
+
+/// Where a waiting request stands.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    rank: Rank,
+    tag: u64,
+    customer: CustomerId,
+}
+
+/// The order between classes: the smallest runs first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    importance: Importance,
+    fresh: bool,
+}
+
+impl Rank {
+    fn of(work: &Work) -> Self {
+        Self { importance: work.importance, fresh: !work.begun }
+    }
+}
+
+/// Start-time fair queueing between the customers of one class.
+#[derive(Debug, Default)]
+struct Class {
+    queue: BTreeMap<(u64, Ticket), CustomerId>,
+    flows: BTreeMap<CustomerId, Flow>,
+    lengths: BTreeSet<(usize, CustomerId)>,
+    virtual_time: u64,
+    weight: u64,
+}
+
+/// One customer's place in the virtual time of a class.
+///
+/// It outlives the customer's last entry, or a customer that keeps a single request waiting would
+/// start at the virtual time again and again and pass the others.
+#[derive(Debug, Default)]
+struct Flow {
+    finish: u64,
+    weight: u64,
+    entries: BTreeSet<(u64, Ticket)>,
+}
+
+impl Class {
+    fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn start_tag(&self, customer: CustomerId) -> u64 {
+        let finish = self.flows.get(&customer).map_or(0, |flow| flow.finish);
+        finish.max(self.virtual_time)
+    }
+
+    fn ahead_of(&self, work: &Work) -> f64 {
+        let distance = self.start_tag(work.customer) - self.virtual_time;
+        let waits = self.flows.get(&work.customer).is_some_and(|flow| !flow.entries.is_empty());
+        let new = if waits { 0 } else { u64::from(work.weight) };
+        // A tie counts as one round ahead of this request.
+        let rounds = distance as f64 / WEIGHT_UNIT as f64 * (self.weight + new) as f64;
+        rounds.max(self.lengths.len() as f64).min(self.queue.len() as f64)
+    }
+
+    fn push(&mut self, ticket: Ticket, work: &Work) -> u64 {
+        let tag = self.start_tag(work.customer);
+        let weight = u64::from(work.weight.max(1));
+        let flow = self.flows.entry(work.customer).or_default();
+        if flow.entries.is_empty() {
+            flow.weight = weight;
+            self.weight += weight;
+        } else {
+            self.lengths.remove(&(flow.entries.len(), work.customer));
+        }
+        flow.finish = tag + (WEIGHT_UNIT / flow.weight).max(1);
+        flow.entries.insert((tag, ticket));
+        self.lengths.insert((flow.entries.len(), work.customer));
+        self.queue.insert((tag, ticket), work.customer);
+        tag
+    }
+
+    fn first(&self) -> Option<(u64, Ticket, CustomerId)> {
+        let (&(tag, ticket), &customer) = self.queue.first_key_value()?;
+        Some((tag, ticket, customer))
+    }
+
+    /// The newest entry of the customer that holds most.
+    fn victim(&self) -> Option<(u64, Ticket)> {
+        let (_, customer) = self.lengths.last()?;
+        self.flows.get(customer)?.entries.last().copied()
+    }
+
+    fn remove(&mut self, tag: u64, ticket: Ticket, customer: CustomerId) {
+        self.queue.remove(&(tag, ticket));
+        let Some(flow) = self.flows.get_mut(&customer) else { return };
+        self.lengths.remove(&(flow.entries.len(), customer));
+        let newest = flow.entries.last() == Some(&(tag, ticket));
+        flow.entries.remove(&(tag, ticket));
+        if newest && tag > self.virtual_time {
+            flow.finish = tag;
+        }
+        if flow.entries.is_empty() {
+            self.weight -= flow.weight;
+        } else {
+            self.lengths.insert((flow.entries.len(), customer));
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/instance.rs
@@ -0,0 +1,185 @@
+//! Instances of services as the path of a request sees them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::document::Policy;
+use crate::envelope::Load;
+use crate::level::HIGHEST_CUT;
+use crate::member::{Member, View};
+use crate::router::Candidate;
+use crate::time::Time;
+
+/// How long an instance gets no work after a connection to it failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long an instance gets less work after its backend server shed by itself.
+const SHED_PAUSE: Duration = Duration::from_secs(2);
+
+/// What is left of an instance's slots after its backend server shed by itself.
+const SHED_SLOTS: f64 = 0.5;
+
+/// The smallest part of its slots that a starting instance gets.
+const FIRST_RAMP: f64 = 0.1;
+
+/// How long a reported cut is believed.
+const CUT_TIME: Duration = Duration::from_secs(1);
+
+/// One instance, with the load that came in its answers.
+#[derive(Debug)]
+pub struct Instance {
+    /// The VM's name.
+    pub vm: String,
+    /// Where it takes requests from other daemons.
+    pub peers: SocketAddr,
+    /// Whether it stands in this daemon's failure domain.
+    pub local: bool,
+    ready: Time,
+    slots: u32,
+    reported: AtomicU32,
+    sent: AtomicU32,
+    failed_until: AtomicU64,
+    shed_until: AtomicU64,
+}
+
+impl Instance {
+    fn new(member: &Member, domain: &str) -> Self {
+        let record = &member.record;
+        Self {
+            vm: record.vm.clone(),
+            peers: record.peers,
+            local: record.domain == domain,
+            ready: member.ready_since.unwrap_or_default(),
+            slots: record.slots,
+            reported: AtomicU32::new(0),
+            sent: AtomicU32::new(0),
+            failed_until: AtomicU64::new(0),
+            shed_until: AtomicU64::new(0),
+        }
+    }
+
+    /// The load that came with an answer.
+    pub fn report(&self, load: Load) {
+        self.reported.store(load.in_flight + load.queued, Ordering::Relaxed);
+    }
+
+    /// Notes that a connection to it failed.
+    pub fn fail(&self, now: Time) {
+        self.failed_until.store((now + FAILURE_PAUSE).as_micros(), Ordering::Relaxed);
+    }
+
+    /// Notes that its backend server shed by itself.
+    pub fn shed(&self, now: Time) {
+        self.shed_until.store((now + SHED_PAUSE).as_micros(), Ordering::Relaxed);
+    }
+
+    /// Counts a request that is on its way, until the returned value is dropped.
+    pub fn send(self: &Arc<Self>) -> Sent {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        Sent { instance: Arc::clone(self) }
+    }
+
+    /// The instance as a candidate, or `None` while connections to it fail.
+    pub fn candidate(&self, index: usize, ramp: Duration, now: Time) -> Option<Candidate> {
+        let now_micros = now.as_micros();
+        if now_micros < self.failed_until.load(Ordering::Relaxed) {
+            return None;
+        }
+        let mut slots = f64::from(self.slots) * self.ramp(ramp, now);
+        if now_micros < self.shed_until.load(Ordering::Relaxed) {
+            slots *= SHED_SLOTS;
+        }
+        let sent = self.sent.load(Ordering::Relaxed);
+        let load = self.reported.load(Ordering::Relaxed).max(sent);
+        Some(Candidate { index, local: self.local, load, slots: (slots as u32).max(1) })
+    }
+
+    fn ramp(&self, ramp: Duration, now: Time) -> f64 {
+        // What was there when this daemon started is not new.
+        if ramp.is_zero() || self.ready.as_micros() < ramp.as_micros() as u64 {
+            return 1.0;
+        }
+        let age = now.since(self.ready).as_secs_f64() / ramp.as_secs_f64();
+        age.clamp(FIRST_RAMP, 1.0)
+    }
+}
+
+/// A request on its way to an instance.
+#[derive(Debug)]
+pub struct Sent {
+    instance: Arc<Instance>,
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.instance.sent.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// All instances that take work, by service.
+#[derive(Debug, Default)]
+pub struct Instances {
+    services: BTreeMap<String, Vec<Arc<Instance>>>,
+}
+
+impl Instances {
+    /// Derives the instances from the members, keeping the load of those that were there before.
+    pub fn derive(&self, view: &View, policy: &Policy, domain: &str, now: Time) -> Self {
+        let mut services: BTreeMap<String, Vec<Arc<Instance>>> = BTreeMap::new();
+        for member in view.iter().filter(|member| member.takes_work(now)) {
+            let record = &member.record;
+            let retired = policy
+                .service_id(&record.service)
+                .is_some_and(|id| policy.service(id).retired.contains(&record.vm));
+            if retired {
+                continue;
+            }
+            let fresh = Instance::new(member, domain);
+            let kept = self.of(&record.service).iter().find(|old| old.same_as(&fresh));
+            let instance = kept.map_or_else(|| Arc::new(fresh), Arc::clone);
+            services.entry(record.service.clone()).or_default().push(instance);
+        }
+        Self { services }
+    }
+
+    /// The instances of one service.
+    pub fn of(&self, service: &str) -> &[Arc<Instance>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+}
+
+impl Instance {
+    fn same_as(&self, other: &Self) -> bool {
+        (&self.vm, self.peers, self.slots, self.ready)
+            == (&other.vm, other.peers, other.slots, other.ready)
+    }
+}
+
+/// How much a service refuses now, as its answers said.
+#[derive(Debug, Default)]
+pub struct Cut {
+    cut: AtomicU32,
+    updated: AtomicU64,
+}
+
+impl Cut {
+    /// Notes a cut that came with an answer. It rises at once and falls by halves.
+    pub fn note(&self, cut: f32, now: Time) {
+        let old = self.at(now);
+        let next = if cut > old { cut } else { (old + cut) / 2.0 };
+        self.cut.store(next.clamp(0.0, HIGHEST_CUT).to_bits(), Ordering::Relaxed);
+        self.updated.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// The cut at `now`; what nobody confirmed lately is not believed.
+    pub fn at(&self, now: Time) -> f32 {
+        let updated = Time::from_micros(self.updated.load(Ordering::Relaxed));
+        if now.since(updated) > CUT_TIME {
+            return 0.0;
+        }
+        f32::from_bits(self.cut.load(Ordering::Relaxed))
+    }
+}
--- /dev/null
+++ b/src/ops.rs
@@ -0,0 +1,160 @@
+//! The operators' address, built on xitca-web: announcements, metrics, status and reasons.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use xitca_web::App;
+use xitca_web::handler::body::Limit;
+use xitca_web::handler::handler_service;
+use xitca_web::handler::params::Params;
+use xitca_web::handler::state::StateRef;
+use xitca_web::http::{StatusCode, WebResponse};
+use xitca_web::route::{get, post};
+
+use crate::board::{BackendServer, Board};
+use crate::envelope::{Load, RequestId};
+use crate::journal::Entry;
+use crate::member::Record;
+
+/// The largest announcement, in bytes.
+const LARGEST_ANNOUNCEMENT: usize = 4 << 10;
+
+/// What one daemon says of itself and of the fleet.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    /// Its own record.
+    pub own: Record,
+    /// The document that it has in force.
+    pub version: u64,
+    /// Its backend server's load.
+    pub load: Load,
+    /// Claims whose outcome is known here and not yet in the table.
+    pub unsettled: usize,
+    /// Seconds for which its failure domain has been cut off, if it is.
+    pub isolated: Option<u64>,
+    /// Its share of each customer's rate, as a fraction.
+    pub shares: Vec<ShareStatus>,
+    /// All members that it knows.
+    pub members: Vec<Record>,
+}
+
+/// One customer's share on one VM.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ShareStatus {
+    /// The customer.
+    pub customer: String,
+    /// The fraction of its rate and burst.
+    pub fraction: f64,
+}
+
+/// Opens the operators' address. The returned future serves it until `stop` turns true.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub fn open(
+    board: Arc<Board>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) -> std::io::Result<impl Future<Output = ()> + Send + 'static> {
+    let mut server = App::new()
+        .with_state(board)
+        .at("/announce", post(handler_service(announce)))
+        .at("/metrics", get(handler_service(metrics)))
+        .at("/status", get(handler_service(status)))
+        .at("/why/{id}", get(handler_service(why)))
+        .serve()
+        .worker_threads(1)
+        .disable_signal()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    // The server brings a runtime of its own, which must not be dropped inside another.
+    std::thread::Builder::new().name("operators".to_owned()).spawn(move || server.wait())?;
+    Ok(async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+        handle.stop(false);
+    })
+}
+
+async fn announce(
+    StateRef(board): StateRef<'_, Board>,
+    (body, _): (Vec<u8>, Limit<LARGEST_ANNOUNCEMENT>),
+) -> WebResponse {
+    let backend: BackendServer = match serde_json::from_slice(&body) {
+        Ok(backend) => backend,
+        Err(error) => {
+            let problem = format!(
+                "the announcement is malformed ({error}); send service, address, slots and \
+                 draining as JSON\n"
+            );
+            return text(StatusCode::BAD_REQUEST, problem);
+        }
+    };
+    if backend.slots == 0 || backend.service.is_empty() {
+        let problem = "slots must be 1 or more and service must not be empty\n";
+        return text(StatusCode::BAD_REQUEST, problem.to_owned());
+    }
+    board.announce(backend);
+    text(StatusCode::OK, "ok\n".to_owned())
+}
+
+async fn metrics(StateRef(board): StateRef<'_, Board>) -> WebResponse {
+    let load = board.gate.load();
+    board.metrics.in_flight.set(i64::from(load.in_flight));
+    board.metrics.queued.set(i64::from(load.queued));
+    text(StatusCode::OK, board.metrics.render())
+}
+
+async fn status(StateRef(board): StateRef<'_, Board>) -> WebResponse {
+    json(&status_of(board))
+}
+
+async fn why(StateRef(board): StateRef<'_, Board>, Params(id): Params<String>) -> WebResponse {
+    let Some(id) = RequestId::parse(&id) else {
+        let problem = "a request's name has 32 hexadecimal digits; copy it from x-request-id\n";
+        return text(StatusCode::BAD_REQUEST, problem.to_owned());
+    };
+    let entries: Vec<Entry> = board.journal.find(id);
+    json(&entries)
+}
+
+fn status_of(board: &Board) -> Status {
+    let policy = board.policy.load();
+    let tables = board.tables.load();
+    let share =
+        |(id, share): (&crate::document::CustomerId, &Arc<_>)| share_status(&policy, *id, share);
+    Status {
+        own: board.record(),
+        version: policy.version,
+        load: board.gate.load(),
+        unsettled: board.claims.unsettled(),
+        isolated: board.isolated_for().map(|span| span.as_secs()),
+        shares: tables.shares.iter().map(share).collect(),
+        members: board.read_view(|view| view.iter().map(|m| m.record.clone()).collect()),
+    }
+}
+
+fn share_status(
+    policy: &crate::document::Policy,
+    id: crate::document::CustomerId,
+    share: &crate::board::CustomerShare,
+) -> ShareStatus {
+    let parts = share.holding().parts();
+    ShareStatus {
+        customer: policy.customer(id).name.clone(),
+        fraction: f64::from(parts) / f64::from(crate::share::WHOLE),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> WebResponse {
+    text(StatusCode::OK, serde_json::to_string(value).unwrap_or_default())
+}
+
+fn text(status: StatusCode, body: String) -> WebResponse {
+    let mut response = WebResponse::new(body.into());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/retry.rs
@@ -0,0 +1,61 @@
+//! Retries that stay bounded end to end.
+//!
+//! The entry gives each request an allowance. The daemon beside an instance keeps a [`Ledger`] for
+//! each live request: a call on takes part of what is left, and what it did not use comes back with
+//! its answer. A lost answer counts as spent. So attempts over the whole tree are at most calls plus
+//! allowance. docs/DESIGN.md, "Retries", gives the argument.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::reason::Outcome;
+
+/// What is left of one request's allowance at one hop.
+#[derive(Debug)]
+pub struct Ledger {
+    left: AtomicU32,
+}
+
+impl Ledger {
+    /// Opens a ledger with the allowance that came with the request.
+    pub const fn new(allowance: u32) -> Self {
+        Self { left: AtomicU32::new(allowance) }
+    }
+
+    /// Retries that are left.
+    pub fn left(&self) -> u32 {
+        self.left.load(Ordering::Acquire)
+    }
+
+    /// Takes half of what is left, rounded up, for one call on.
+    ///
+    /// Half leaves something for calls that run beside this one.
+    pub fn lend(&self) -> u32 {
+        let mut lent = 0;
+        let _ = self.left.fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+            lent = left.div_ceil(2);
+            Some(left - lent)
+        });
+        lent
+    }
+
+    /// Takes one retry, or returns `false` when none is left.
+    pub fn spend(&self) -> bool {
+        let spent = |left: u32| left.checked_sub(1);
+        self.left.fetch_update(Ordering::AcqRel, Ordering::Acquire, spent).is_ok()
+    }
+
+    /// Gives back what a call on did not use.
+    pub fn give_back(&self, unused: u32) {
+        self.left.fetch_add(unused, Ordering::AcqRel);
+    }
+}
+
+/// Whether a failed attempt may be followed by another, before allowance and buckets are asked.
+///
+/// A request that may have run is repeated only on an idempotent route.
+pub const fn may_retry(outcome: Outcome, idempotent: bool) -> bool {
+    match outcome {
+        Outcome::NotRun => true,
+        Outcome::Ran | Outcome::Unknown => idempotent,
+    }
+}
--- /dev/null
+++ b/src/server.rs
@@ -0,0 +1,105 @@
+//! The listener for callers, for other daemons and for the local backend server's own calls.
+//!
+//! It stands on hyper, because hyper drops the handler when the other side goes away; that drop is how
+//! cancellation travels down the call graph. docs/DESIGN.md, "Listeners", has the measurement beside
+//! xitca-web.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::envelope::RequestId;
+use crate::message::{Answer, Response};
+use crate::reason::Reason;
+
+/// How long a connection over the limit has to send its request and read the refusal.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
+/// How long the listener rests after the system refused it a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Bounds of one listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections at once.
+    pub connections: usize,
+    /// The largest request head, in bytes.
+    pub header_bytes: usize,
+    /// The longest that a request head may take.
+    pub header_time: Duration,
+}
+
+/// Serves `listener` until `stop` turns true, then finishes the requests in flight and returns.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(http::Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(bounds.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            tokio::spawn(refuse(stream, bounds));
+            continue;
+        };
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = builder(bounds).serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(slot);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn builder(bounds: Bounds) -> hyper::server::conn::http1::Builder {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.header_time)
+        .max_buf_size(bounds.header_bytes.max(8 << 10));
+    builder
+}
+
+/// Answers one request of a connection over the limit, and closes it.
+async fn refuse(stream: TcpStream, bounds: Bounds) {
+    let limit = bounds.connections as u64;
+    let service = service_fn(move |_| async move {
+        let request = RequestId::random(&mut rand::rng());
+        let reason = Reason::TooManyConnections { limit };
+        let answer = Answer::not_run(request, reason).into_response();
+        Ok::<http::Response<Full<Bytes>>, Infallible>(answer)
+    });
+    let mut builder = builder(bounds);
+    let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
+    let _ = tokio::time::timeout(REFUSAL_TIME, connection).await;
+}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,75 @@
+//! Monotonic time that decisions take as an argument.
+//!
+//! A decision never reads a clock, so that hundreds of daemons' decision state can run in one
+//! process under virtual time. Only the I/O around the decisions holds a [`Clock`]. The reasons are
+//! in [docs/DESIGN.md](https://github.com/gypsumtack/gypsumtack/blob/main/docs/DESIGN.md).
+
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// A point on one process's monotonic clock, in microseconds since that clock was started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Time(u64);
+
+impl Time {
+    /// The moment at which the clock was started.
+    pub const ZERO: Self = Self(0);
+
+    /// Makes a point from microseconds since the clock was started.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes a point from milliseconds since the clock was started.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the clock was started.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// The time from `earlier` to this point, or zero when `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+/// The clock of one process, read only where a decision meets I/O.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at [`Time::ZERO`].
+    pub fn start() -> Self {
+        Self { origin: Instant::now() }
+    }
+
+    /// Reads the clock.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+}
--- /dev/null
+++ b/standin/src/backend.rs
@@ -0,0 +1,314 @@
+//! A backend server: slots, service time, calls on, drain, cold start, own shedding and crashes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gypsumtack::board::BackendServer;
+use gypsumtack::message::{self, Response};
+use gypsumtack::server::{self, Bounds};
+use gypsumtack::sync::lock;
+use http::{HeaderMap, HeaderName, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::caller::{Caller, Question};
+
+/// Names one operation, so that runs of it can be counted.
+pub const OPERATION: HeaderName = HeaderName::from_static("x-operation");
+
+/// Crashes the backend server that runs the request.
+pub const CRASH: HeaderName = HeaderName::from_static("x-crash");
+
+/// How often a backend server announces itself.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+
+/// How old the numbers of the load endpoint are.
+const LOAD_LAG: Duration = Duration::from_secs(5);
+
+/// Requests in flight, as a multiple of the slots, from which it sheds by itself.
+const SHED_FACTOR: u32 = 2;
+
+/// What a backend server does.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The service that it runs.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// How long its own work on a request takes, in milliseconds.
+    pub service_ms: u64,
+    /// Paths that it calls on to for each request, through its daemon.
+    #[serde(default)]
+    pub calls: Vec<String>,
+    /// How long it is slow after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
+}
+
+/// What a backend server has seen, for checks.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Runs of each operation, of requests that came to the end of their service time.
+    pub runs: Mutex<BTreeMap<String, u32>>,
+    /// Requests that began.
+    pub begun: AtomicU64,
+    /// Requests whose caller went away before the end.
+    pub cancelled: AtomicU64,
+    /// Requests that carried a key.
+    pub keys: AtomicU64,
+    /// Requests that it shed by itself.
+    pub shed: AtomicU64,
+    /// Requests that came while it drained, longer than the grace after its announcement.
+    pub late: AtomicU64,
+}
+
+/// A backend server that runs in this process.
+#[derive(Debug)]
+pub struct Backend {
+    address: SocketAddr,
+    state: Arc<State>,
+    stop: watch::Sender<bool>,
+    announcer: JoinHandle<()>,
+    server: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    plan: Plan,
+    egress: SocketAddr,
+    caller: Caller,
+    started: Instant,
+    service_ms: AtomicU64,
+    in_flight: AtomicU32,
+    drained: Mutex<Option<Instant>>,
+    load: Mutex<Stale>,
+    crash: watch::Sender<bool>,
+    seen: Arc<Seen>,
+}
+
+/// A load that is reported long after it was read.
+#[derive(Debug)]
+struct Stale {
+    read: Instant,
+    load: u32,
+}
+
+/// The backend server's answer to a request that it ran.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Echo {
+    /// The service that ran it.
+    pub service: String,
+    /// The path.
+    pub path: String,
+    /// The operation that the request named.
+    pub operation: String,
+    /// The length of the request's body, in bytes.
+    pub bytes: usize,
+}
+
+impl Backend {
+    /// Starts a backend server beside the daemon with these addresses, and announces it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no address can be bound.
+    pub async fn start(
+        plan: Plan,
+        egress: SocketAddr,
+        operators: SocketAddr,
+        seen: Arc<Seen>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let state = Arc::new(State {
+            service_ms: AtomicU64::new(plan.service_ms),
+            plan,
+            egress,
+            caller: Caller::new(),
+            started: Instant::now(),
+            in_flight: AtomicU32::new(0),
+            drained: Mutex::new(None),
+            load: Mutex::new(Stale { read: Instant::now(), load: 0 }),
+            crash: stop.clone(),
+            seen,
+        });
+        let shared = Arc::clone(&state);
+        let handler = move |request| handle(Arc::clone(&shared), request);
+        let bounds = Bounds {
+            connections: 4_000,
+            header_bytes: 64 << 10,
+            header_time: Duration::from_secs(30),
+        };
+        let server = tokio::spawn(server::serve(listener, bounds, stopped, handler));
+        let announcer = tokio::spawn(announce(Arc::clone(&state), address, operators));
+        Ok(Self { address, state, stop, announcer, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how long its own work takes.
+    pub fn set_service_time(&self, time: Duration) {
+        self.state.service_ms.store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Announces that it drains.
+    pub fn drain(&self) {
+        *lock(&self.state.drained) = Some(Instant::now());
+    }
+
+    /// Requests in flight now.
+    pub fn in_flight(&self) -> u32 {
+        self.state.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Waits until a request has crashed it.
+    pub async fn crashed(&self) {
+        let _ = self.stop.subscribe().wait_for(|stop| *stop).await;
+    }
+
+    /// Ends it.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+        self.announcer.abort();
+        self.server.abort();
+    }
+}
+
+/// Announces the backend server again and again, so that a daemon that starts later hears of it.
+async fn announce(state: Arc<State>, address: SocketAddr, operators: SocketAddr) {
+    loop {
+        let announcement = BackendServer {
+            service: state.plan.service.clone(),
+            address,
+            slots: state.plan.slots,
+            draining: lock(&state.drained).is_some(),
+        };
+        let body = serde_json::to_vec(&announcement).unwrap_or_default();
+        let _ = state.caller.post(operators, "/announce", body.into()).await;
+        tokio::time::sleep(ANNOUNCE_PERIOD).await;
+    }
+}
+
+async fn handle(state: Arc<State>, request: http::Request<Incoming>) -> Response {
+    match request.uri().path() {
+        "/health" => return respond(StatusCode::OK, Bytes::from_static(b"ok")),
+        "/load" => return load(&state),
+        _ => {}
+    }
+    let (parts, body) = request.into_parts();
+    if parts.headers.contains_key(message::KEY) || parts.headers.contains_key("authorization") {
+        state.seen.keys.fetch_add(1, Ordering::Relaxed);
+    }
+    state.note_late();
+    if state.in_flight.load(Ordering::Relaxed) >= state.plan.slots * SHED_FACTOR {
+        state.seen.shed.fetch_add(1, Ordering::Relaxed);
+        return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
+    let mut run = Run::begin(&state);
+    let Ok(body) = message::collect(body, u64::MAX >> 1).await else {
+        return respond(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    if parts.headers.contains_key(&CRASH) {
+        let _ = state.crash.send(true);
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(state.service_time()).await;
+    let failed = call_on(&state, &parts.headers).await;
+    run.done = true;
+    let operation = text_of(&parts.headers, &OPERATION);
+    *lock(&state.seen.runs).entry(operation.clone()).or_insert(0) += 1;
+    if failed {
+        return respond(StatusCode::BAD_GATEWAY, Bytes::new());
+    }
+    let echo = Echo {
+        service: state.plan.service.clone(),
+        path: parts.uri.path().to_owned(),
+        operation,
+        bytes: body.len(),
+    };
+    respond(StatusCode::OK, serde_json::to_vec(&echo).unwrap_or_default().into())
+}
+
+/// Calls on through the daemon, one path after the other. Returns whether any of them failed.
+async fn call_on(state: &State, headers: &HeaderMap) -> bool {
+    let token = text_of(headers, &message::TOKEN);
+    for path in &state.plan.calls {
+        let question = Question::get(path).header(message::TOKEN, &token);
+        let answer = state.caller.ask(state.egress, question).await;
+        if !answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            return true;
+        }
+    }
+    false
+}
+
+/// The load of a while ago, as such endpoints tell it.
+fn load(state: &State) -> Response {
+    let mut stale = lock(&state.load);
+    if stale.read.elapsed() > LOAD_LAG {
+        *stale = Stale { read: Instant::now(), load: state.in_flight.load(Ordering::Relaxed) };
+    }
+    respond(StatusCode::OK, stale.load.to_string().into())
+}
+
+impl State {
+    fn service_time(&self) -> Duration {
+        let time = Duration::from_millis(self.service_ms.load(Ordering::Relaxed));
+        let cold = self.started.elapsed() < Duration::from_millis(self.plan.cold_ms);
+        if cold { time * 3 } else { time }
+    }
+
+    /// Counts work that comes longer than the allowed few seconds after it began to drain.
+    fn note_late(&self) {
+        const GRACE: Duration = Duration::from_secs(4);
+        if lock(&self.drained).is_some_and(|since| since.elapsed() > GRACE) {
+            self.seen.late.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// One request, counted until it ends or its caller goes away.
+struct Run<'a> {
+    state: &'a State,
+    done: bool,
+}
+
+impl<'a> Run<'a> {
+    fn begin(state: &'a State) -> Self {
+        state.in_flight.fetch_add(1, Ordering::Relaxed);
+        state.seen.begun.fetch_add(1, Ordering::Relaxed);
+        Self { state, done: false }
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !self.done {
+            self.state.seen.cancelled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn text_of(headers: &HeaderMap, name: &HeaderName) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response {
+    let mut response = http::Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,206 @@
+//! The platform's table and object store over HTTP, with switches for its failures.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use gypsumtack::message::{self, Response};
+use gypsumtack::platform::{Read, Row, Scan, Transaction};
+use gypsumtack::server::{self, Bounds};
+use gypsumtack::sync::lock;
+use http::{Method, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::table::Table;
+
+/// The largest body, in bytes.
+const LARGEST_BODY: u64 = 64 << 20;
+
+/// How long an answer that counts as lost is held back.
+const LOST_TIME: Duration = Duration::from_secs(600);
+
+/// What is wrong with the platform now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Faults {
+    /// Every exchange fails and nothing takes effect.
+    pub down: bool,
+    /// Every exchange takes this much longer, in milliseconds.
+    pub slow_ms: u64,
+    /// The part of writes that take effect and whose answers are lost, from 0 to 1.
+    pub lose_answers: f64,
+}
+
+/// How much the platform was used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Transactions and stored objects.
+    pub writes: u64,
+    /// Reads of rows, scans and objects.
+    pub reads: u64,
+}
+
+/// A platform that runs in this process.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    stop: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+struct State {
+    table: Table,
+    objects: BTreeMap<String, Bytes>,
+    faults: Faults,
+    usage: Usage,
+    rng: SmallRng,
+}
+
+impl Platform {
+    /// Starts a platform on `address`; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub async fn start(address: SocketAddr, seed: u64) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(Mutex::new(State {
+            table: Table::default(),
+            objects: BTreeMap::new(),
+            faults: Faults::default(),
+            usage: Usage::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }));
+        let (stop, stopped) = watch::channel(false);
+        let shared = Arc::clone(&state);
+        let handler = move |request| handle(Arc::clone(&shared), request);
+        let bounds = Bounds {
+            connections: 10_000,
+            header_bytes: 64 << 10,
+            header_time: Duration::from_secs(30),
+        };
+        tokio::spawn(server::serve(listener, bounds, stopped, handler));
+        Ok(Self { address, state, stop })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what is wrong with it.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// How much it was used so far.
+    pub fn usage(&self) -> Usage {
+        lock(&self.state).usage
+    }
+
+    /// A copy of its table.
+    pub fn table(&self) -> Table {
+        lock(&self.state).table.clone()
+    }
+
+    /// Ends it. What it kept is gone.
+    pub fn stop(&self) {
+        let _ = self.stop.send(true);
+    }
+}
+
+async fn handle(state: Arc<Mutex<State>>, request: http::Request<Incoming>) -> Response {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = message::collect(body, LARGEST_BODY).await else {
+        return respond(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    if parts.method == Method::POST && parts.uri.path() == "/faults" {
+        return set_faults(&state, &body);
+    }
+    let faults = lock(&state).faults;
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.down {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+    }
+    let (response, wrote) = lock(&state).act(&parts.method, parts.uri.path(), &body);
+    if wrote && lock(&state).rng.random_bool(faults.lose_answers.clamp(0.0, 1.0)) {
+        tokio::time::sleep(LOST_TIME).await;
+    }
+    response
+}
+
+fn set_faults(state: &Mutex<State>, body: &[u8]) -> Response {
+    match serde_json::from_slice(body) {
+        Ok(faults) => {
+            lock(state).faults = faults;
+            respond(StatusCode::OK, Bytes::new())
+        }
+        Err(error) => respond(StatusCode::BAD_REQUEST, error.to_string().into()),
+    }
+}
+
+impl State {
+    fn act(&mut self, method: &Method, path: &str, body: &Bytes) -> (Response, bool) {
+        match (method.as_str(), path) {
+            ("POST", "/table/commit") => (self.commit(body), true),
+            ("POST", "/table/read") => (self.read(body), false),
+            ("POST", "/table/scan") => (self.scan(body), false),
+            ("PUT", path) => {
+                self.usage.writes += 1;
+                self.objects.insert(path.to_owned(), body.clone());
+                (respond(StatusCode::OK, Bytes::new()), true)
+            }
+            ("GET", path) => {
+                self.usage.reads += 1;
+                let object = self.objects.get(path).cloned();
+                let status = object.as_ref().map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
+                (respond(status, object.unwrap_or_default()), false)
+            }
+            _ => (respond(StatusCode::METHOD_NOT_ALLOWED, Bytes::new()), false),
+        }
+    }
+
+    fn commit(&mut self, body: &[u8]) -> Response {
+        self.usage.writes += 1;
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else { return bad() };
+        json(&self.table.commit(&transaction))
+    }
+
+    fn read(&mut self, body: &[u8]) -> Response {
+        self.usage.reads += 1;
+        let Ok(read) = serde_json::from_slice::<Read>(body) else { return bad() };
+        let rows: Vec<&Row> = read.keys.iter().filter_map(|key| self.table.row(key)).collect();
+        json(&rows)
+    }
+
+    fn scan(&mut self, body: &[u8]) -> Response {
+        self.usage.reads += 1;
+        let Ok(scan) = serde_json::from_slice::<Scan>(body) else { return bad() };
+        let rows: Vec<&Row> = self.table.scan(&scan.prefix).collect();
+        json(&rows)
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Response {
+    respond(StatusCode::OK, serde_json::to_vec(value).unwrap_or_default().into())
+}
+
+fn bad() -> Response {
+    respond(StatusCode::BAD_REQUEST, Bytes::new())
+}
+
+fn respond(status: StatusCode, body: Bytes) -> Response {
+    let mut response = http::Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/standin/src/table.rs
@@ -0,0 +1,60 @@
+//! The platform's transactional table as a plain map.
+
+use std::collections::BTreeMap;
+
+use gypsumtack::platform::{Check, Commit, Row, Transaction};
+
+/// A table whose transactions take effect one after the other.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    rows: BTreeMap<String, Row>,
+    commits: u64,
+}
+
+impl Table {
+    /// Commits a transaction if all its checks hold.
+    pub fn commit(&mut self, transaction: &Transaction) -> Commit {
+        let failed: Vec<Check> = transaction
+            .checks
+            .iter()
+            .filter(|check| self.version(&check.key) != check.version)
+            .map(|check| Check { key: check.key.clone(), version: self.version(&check.key) })
+            .collect();
+        if !failed.is_empty() {
+            return Commit::Conflict(failed);
+        }
+        self.commits += 1;
+        for write in &transaction.writes {
+            match &write.value {
+                Some(value) => {
+                    let (key, value) = (write.key.clone(), value.clone());
+                    self.rows.insert(key.clone(), Row { key, version: self.commits, value });
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        Commit::Done(self.commits)
+    }
+
+    /// The row with this key.
+    pub fn row(&self, key: &str) -> Option<&Row> {
+        self.rows.get(key)
+    }
+
+    /// All rows whose keys start with `prefix`, in order.
+    pub fn scan<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Row> {
+        let from = self.rows.range(prefix.to_owned()..);
+        from.take_while(move |(key, _)| key.starts_with(prefix)).map(|(_, row)| row)
+    }
+
+    /// How many transactions have taken effect.
+    pub fn commits(&self) -> u64 {
+        self.commits
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |row| row.version)
+    }
+}
--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,164 @@
+//! A small fleet on loopback for tests: platform stand-in, daemons and backend server stand-ins.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use gypsumtack::envelope::Token;
+use gypsumtack::publish::{self, Edit, Scope};
+use gypsumtack::time::Clock;
+use gypsumtack::{Daemon, Digest, Settings, platform, settings};
+use gypsumtack_standin::backend::{Backend, Plan, Seen};
+use gypsumtack_standin::caller::{Answer, Caller, Question};
+use gypsumtack_standin::platform::Platform;
+
+/// How long a test waits for something to become true before it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One VM of the fleet.
+pub struct Node {
+    pub daemon: Daemon,
+    pub backend: Backend,
+}
+
+impl Node {
+    pub fn callers(&self) -> SocketAddr {
+        self.daemon.board().settings.listen.callers
+    }
+}
+
+pub struct Fleet {
+    pub platform: Platform,
+    pub caller: Caller,
+    pub seen: Arc<Seen>,
+    pub nodes: Vec<Node>,
+}
+
+impl Fleet {
+    pub async fn start(document: &str) -> Self {
+        let platform = Platform::start(([127, 0, 0, 1], 0).into(), 1).await.unwrap();
+        let fleet = Self {
+            platform,
+            caller: Caller::new(),
+            seen: Arc::new(Seen::default()),
+            nodes: Vec::new(),
+        };
+        publish::apply(&fleet.client(), &edit(document, Scope::Whole)).await.unwrap();
+        fleet
+    }
+
+    pub fn client(&self) -> platform::Client {
+        let settings = settings::Platform { address: self.platform.address(), timeout_ms: 1_000 };
+        platform::Client::new(&settings, Clock::start())
+    }
+
+    /// Adds a VM and waits until it has the document in force.
+    pub async fn add(&mut self, domain: &str, plan: Plan) -> usize {
+        let text =
+            settings_text(&format!("vm-{}", self.nodes.len()), domain, self.platform.address());
+        self.add_with(Settings::parse(&text, "test").unwrap(), plan).await
+    }
+
+    pub async fn add_with(&mut self, settings: Settings, plan: Plan) -> usize {
+        let daemon = Daemon::start(settings).await.unwrap();
+        let listen = daemon.board().settings.listen.clone();
+        let seen = Arc::clone(&self.seen);
+        let backend = Backend::start(plan, listen.egress, listen.operators, seen).await.unwrap();
+        let board = Arc::clone(daemon.board());
+        until("the document is in force", || board.policy.load().version > 0).await;
+        until("the backend server is announced", || board.is_ready()).await;
+        self.nodes.push(Node { daemon, backend });
+        self.nodes.len() - 1
+    }
+
+    /// Waits until every VM can reach an instance of each service.
+    pub async fn settle(&self, services: &[&str]) {
+        for node in &self.nodes {
+            let board = node.daemon.board();
+            let customer = board.policy.load().customer_id("acme").unwrap();
+            let share = board.tables.load().shares[&customer].clone();
+            until("a share is held", || share.holding().parts() > 0).await;
+            for service in services {
+                until("instances are known", || !board.instances.load().of(service).is_empty())
+                    .await;
+            }
+        }
+    }
+
+    pub async fn ask(&self, node: usize, question: Question) -> Answer {
+        self.caller.ask(self.nodes[node].callers(), question).await.unwrap()
+    }
+
+    pub fn begun(&self) -> u64 {
+        self.seen.begun.load(Ordering::Relaxed)
+    }
+}
+
+pub fn edit(text: &str, scope: Scope) -> Edit {
+    Edit {
+        who: "amal".to_owned(),
+        team: "ops".to_owned(),
+        time: 0,
+        scope,
+        text: text.to_owned(),
+        change: Token::random(&mut rand::rng()),
+    }
+}
+
+pub fn settings_text(vm: &str, domain: &str, platform: SocketAddr) -> String {
+    format!(
+        "vm = \"{vm}\"\nfailure_domain = \"{domain}\"\n\
+         [listen]\ncallers = \"127.0.0.1:0\"\negress = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+         control = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
+         [platform]\naddress = \"{platform}\"\n\
+         [fleet]\nsecrets = [\"a secret of the test fleet\"]\n\
+         [limits]\nleave_ms = 500\n"
+    )
+}
+
+pub fn plan(service: &str, slots: u32, service_ms: u64, calls: &[&str]) -> Plan {
+    Plan {
+        service: service.to_owned(),
+        slots,
+        service_ms,
+        calls: calls.iter().map(|path| (*path).to_owned()).collect(),
+        cold_ms: 0,
+    }
+}
+
+/// A document with two services, `front` calling `deep`, and one generous customer `acme`.
+pub fn document() -> String {
+    document_with("")
+}
+
+pub fn document_with(more: &str) -> String {
+    let digest = Digest::of(b"acme-key");
+    format!(
+        "[owners]\nowners = \"ops\"\nlimits = \"ops\"\nfailure_domains = \"ops\"\n\
+         services = \"ops\"\ncustomers = \"ops\"\nroutes = \"ops\"\n\
+         [limits]\nqueue_ms = 1000\n\
+         [failure_domains.a]\nregion = \"r\"\n[failure_domains.b]\nregion = \"r\"\n\
+         [services.front]\nramp_s = 0\n[services.deep]\nramp_s = 0\n\
+         [customers.acme]\nrate = 1000.0\nburst = 1000.0\nkeys = [\"{digest}\"]\n\
+         [routes.front]\npath = \"/front\"\nservice = \"front\"\nimportance = \"high\"\n\
+         idempotent = true\ndeadline_ms = 5000\n\
+         [routes.deep]\npath = \"/deep\"\nservice = \"deep\"\nimportance = \"normal\"\n\
+         idempotent = true\ndeadline_ms = 5000\n\
+         [routes.sign]\npath = \"/sign\"\nservice = \"deep\"\nimportance = \"critical\"\n\
+         idempotent = false\ndeadline_ms = 5000\n\
+         [routes.open]\npath = \"/open\"\nservice = \"deep\"\nimportance = \"low\"\n\
+         idempotent = true\nopen = true\ndeadline_ms = 5000\n{more}"
+    )
+}
+
+/// Waits until `check` holds; the test fails when it does not within [`PATIENCE`].
+pub async fn until(what: &str, mut check: impl FnMut() -> bool) {
+    let end = tokio::time::Instant::now() + PATIENCE;
+    while !check() {
+        assert!(tokio::time::Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
