--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -57,8 +57,7 @@
 /// What a backend server has seen, for checks.
 #[derive(Debug, Default)]
 pub struct Seen {
-    /// Runs of each operation, of requests that came to the end of their service time.
-    pub runs: Mutex<BTreeMap<String, u32>>,
+    traces: Mutex<BTreeMap<String, Trace>>,
     /// Requests that began.
     pub begun: AtomicU64,
     /// Requests whose caller went away before the end.
@@ -71,6 +70,30 @@
     pub late: AtomicU64,
 }
 
+/// What backend servers did for one operation.
+#[derive(Debug, Clone, Default)]
+pub struct Trace {
+    /// When an attempt began.
+    pub begun: Vec<Instant>,
+    /// Attempts that came to the end of their service time.
+    pub runs: u32,
+    /// Calls on that were made for it.
+    pub calls: u32,
+}
+
+impl Seen {
+    /// What was done for one operation.
+    pub fn trace(&self, operation: &str) -> Trace {
+        lock(&self.traces).get(operation).cloned().unwrap_or_default()
+    }
+
+    fn note(&self, operation: &str, change: impl FnOnce(&mut Trace)) {
+        if !operation.is_empty() {
+            change(lock(&self.traces).entry(operation.to_owned()).or_default());
+        }
+    }
+}
+
 /// A backend server that runs in this process.
 #[derive(Debug)]
 pub struct Backend {
@@ -218,6 +241,8 @@
         return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
     let mut run = Run::begin(&state);
+    let operation = text_of(&parts.headers, &OPERATION);
+    state.seen.note(&operation, |trace| trace.begun.push(Instant::now()));
     let Ok(body) = message::collect(body, u64::MAX >> 1).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
@@ -226,10 +251,9 @@
         std::future::pending::<()>().await;
     }
     tokio::time::sleep(state.service_time()).await;
-    let failed = call_on(&state, &parts.headers).await;
+    let failed = call_on(&state, &parts.headers, &operation).await;
     run.done = true;
-    let operation = text_of(&parts.headers, &OPERATION);
-    *lock(&state.seen.runs).entry(operation.clone()).or_insert(0) += 1;
+    state.seen.note(&operation, |trace| trace.runs += 1);
     if failed {
         return respond(StatusCode::BAD_GATEWAY, Bytes::new());
     }
@@ -243,10 +267,12 @@
 }
 
 /// Calls on through the daemon, one path after the other. Returns whether any of them failed.
-async fn call_on(state: &State, headers: &HeaderMap) -> bool {
+async fn call_on(state: &State, headers: &HeaderMap, operation: &str) -> bool {
     let token = text_of(headers, &message::TOKEN);
     for path in &state.plan.calls {
-        let question = Question::get(path).header(message::TOKEN, &token);
+        let question =
+            Question::get(path).header(message::TOKEN, &token).header(OPERATION, operation);
+        state.seen.note(operation, |trace| trace.calls += 1);
         let answer = state.caller.ask(state.egress, question).await;
         if !answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
             return true;
--- /dev/null
+++ b/standin/src/demo/system.rs
@@ -0,0 +1,232 @@
+//! The system that the demo starts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use gypsumtack::claims::unix_seconds;
+use gypsumtack::envelope::Token;
+use gypsumtack::publish::{self, Edit, Scope};
+use gypsumtack::time::Clock;
+use gypsumtack::{Board, Daemon, Digest, Error, Result, Settings, platform, settings};
+use tokio::task::JoinHandle;
+
+use crate::backend::{Backend, Plan, Seen};
+use crate::platform::Platform;
+
+/// Failure domains, each with one instance of each service.
+const DOMAINS: [&str; 3] = ["anfa", "maarif", "oasis"];
+
+/// Slots of an instance.
+const SLOTS: u32 = 6;
+
+/// How long a service works on a request, in milliseconds.
+const SERVICE_MS: u64 = 20;
+
+/// How long the start may take.
+const START_TIME: Duration = Duration::from_secs(10);
+
+/// The text of the `customers` section, the key of `portal` granted or withdrawn.
+fn customers(portal: bool) -> String {
+    let mut text = String::new();
+    for (name, rate, burst) in super::traffic::CUSTOMERS {
+        let digest = Digest::of(super::traffic::key(name).as_bytes());
+        let granted = portal || name != super::traffic::WITHDRAWN;
+        let keys = if granted { format!("\"{digest}\"") } else { String::new() };
+        text.push_str(&format!(
+            "[customers.{name}]\nrate = {rate:.1}\nburst = {burst:.1}\nkeys = [{keys}]\n"
+        ));
+    }
+    text
+}
+
+fn document() -> String {
+    let owners = ["owners", "limits", "failure_domains", "services", "customers", "routes"]
+        .map(|section| format!("{section} = \"demo\"\n"))
+        .concat();
+    let domains = DOMAINS.map(|name| format!("[failure_domains.{name}]\nregion = \"demo\"\n"));
+    let routes = [
+        ("safety", "/register/safety", "register", "critical", true),
+        ("lists", "/register/lists", "register", "high", true),
+        ("dossiers", "/register/dossiers", "register", "normal", true),
+        ("exports", "/register/exports", "register", "low", true),
+        ("archive", "/archive", "archive", "normal", true),
+        ("signoff", "/archive/signoff", "archive", "critical", false),
+    ]
+    .map(|(name, path, service, importance, idempotent)| {
+        format!(
+            "[routes.{name}]\npath = \"{path}\"\nservice = \"{service}\"\n\
+             importance = \"{importance}\"\nidempotent = {idempotent}\ndeadline_ms = 1500\n\
+             retries = 2\n"
+        )
+    });
+    format!(
+        "[owners]\n{owners}[limits]\nqueue_ms = 300\n{}[services.register]\nramp_s = 1\n\
+         [services.archive]\nramp_s = 1\n{}{}",
+        domains.concat(),
+        customers(true),
+        routes.concat()
+    )
+}
+
+/// The running system.
+pub(super) struct System {
+    pub(super) platform: Platform,
+    pub(super) seen: Arc<Seen>,
+    pub(super) boards: Vec<Arc<Board>>,
+    daemons: Vec<Daemon>,
+    backends: Vec<Arc<Backend>>,
+    reverted: Arc<AtomicU64>,
+    watcher: JoinHandle<()>,
+}
+
+/// When the key was withdrawn, and when every VM had the document in force.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Withdrawal {
+    pub(super) accepted: Instant,
+    pub(super) everywhere: Option<Duration>,
+}
+
+impl System {
+    pub(super) async fn start(seed: u64) -> Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::start(any, seed).await.map_err(|source| Error::Listen {
+            key: "platform",
+            address: any.to_string(),
+            source,
+        })?;
+        let seen = Arc::new(Seen::default());
+        apply(platform.address(), Scope::Whole, document()).await?;
+        let mut daemons = Vec::new();
+        let mut backends = Vec::new();
+        for domain in DOMAINS {
+            for (service, calls) in [("register", &["/archive/1"][..]), ("archive", &[])] {
+                let settings = settings_of(domain, service, platform.address())?;
+                let daemon = Daemon::start(settings).await?;
+                let listen = &daemon.board().settings.listen;
+                let plan = Plan {
+                    service: service.to_owned(),
+                    slots: SLOTS,
+                    service_ms: SERVICE_MS,
+                    calls: calls.iter().map(|path| (*path).to_owned()).collect(),
+                    cold_ms: 0,
+                };
+                let backend =
+                    Backend::start(plan, listen.egress, listen.operators, Arc::clone(&seen))
+                        .await
+                        .map_err(|source| Error::Listen {
+                            key: "backend",
+                            address: any.to_string(),
+                            source,
+                        })?;
+                backends.push(Arc::new(backend));
+                daemons.push(daemon);
+            }
+        }
+        let boards: Vec<_> = daemons.iter().map(|daemon| Arc::clone(daemon.board())).collect();
+        let reverted = Arc::new(AtomicU64::new(0));
+        let watcher = tokio::spawn(watch_versions(boards.clone(), Arc::clone(&reverted)));
+        let system = Self { platform, seen, boards, daemons, backends, reverted, watcher };
+        system.wait_until_ready().await;
+        Ok(system)
+    }
+
+    /// Addresses for callers, one a VM.
+    pub(super) fn entries(&self) -> Vec<SocketAddr> {
+        self.boards.iter().map(|board| board.settings.listen.callers).collect()
+    }
+
+    /// How often a VM went back to an older document.
+    pub(super) fn reverted(&self) -> u64 {
+        self.reverted.load(Ordering::Relaxed)
+    }
+
+    async fn wait_until_ready(&self) {
+        let end = Instant::now() + START_TIME;
+        while Instant::now() < end && !self.boards.iter().all(|board| is_ready(board)) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Withdraws one customer's key, and measures how long the document takes to be everywhere.
+    pub(super) async fn withdraw_key(&self) -> Result<Withdrawal> {
+        let scope = Scope::Section { name: "customers".to_owned(), expect: 1 };
+        let version = apply(self.platform.address(), scope, customers(false)).await?;
+        let accepted = Instant::now();
+        let end = accepted + START_TIME;
+        while Instant::now() < end {
+            if self.boards.iter().all(|board| board.policy.load().version >= version) {
+                return Ok(Withdrawal { accepted, everywhere: Some(accepted.elapsed()) });
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(Withdrawal { accepted, everywhere: None })
+    }
+
+    /// Drains one backend server and stops its daemon as planned.
+    pub(super) fn stop_one(&mut self) -> JoinHandle<()> {
+        let daemon = self.daemons.remove(0);
+        self.backends[0].drain();
+        tokio::spawn(daemon.stop())
+    }
+
+    pub(super) async fn stop(self) {
+        self.watcher.abort();
+        futures::future::join_all(self.daemons.into_iter().map(Daemon::stop)).await;
+        for backend in &self.backends {
+            backend.stop();
+        }
+        self.platform.stop();
+    }
+}
+
+fn is_ready(board: &Board) -> bool {
+    let policy = board.policy.load();
+    let tables = board.tables.load();
+    let instances = board.instances.load();
+    let known = ["register", "archive"].iter().all(|s| instances.of(s).len() == DOMAINS.len());
+    let shared = tables.shares.values().filter(|share| share.holding().parts() > 0).count();
+    policy.version > 0 && known && shared == tables.shares.len()
+}
+
+/// Counts every time that a VM goes back to an older document.
+async fn watch_versions(boards: Vec<Arc<Board>>, reverted: Arc<AtomicU64>) {
+    let mut seen = vec![0; boards.len()];
+    loop {
+        for (board, seen) in boards.iter().zip(&mut seen) {
+            let version = board.policy.load().version;
+            if version < *seen {
+                reverted.fetch_add(1, Ordering::Relaxed);
+            }
+            *seen = version;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn settings_of(domain: &str, service: &str, platform: SocketAddr) -> Result<Settings> {
+    let text = format!(
+        "vm = \"{domain}-{service}\"\nfailure_domain = \"{domain}\"\n\
+         [listen]\ncallers = \"127.0.0.1:0\"\negress = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n\
+         control = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n\
+         [platform]\naddress = \"{platform}\"\n\
+         [fleet]\nsecrets = [\"the secret of the demo fleet\"]\n\
+         [limits]\nleave_ms = 1500\nstop_ms = 5000\n"
+    );
+    Settings::parse(&text, "the demo's settings")
+}
+
+async fn apply(address: SocketAddr, scope: Scope, text: String) -> Result<u64> {
+    let settings = settings::Platform { address, timeout_ms: 1_000 };
+    let client = platform::Client::new(&settings, Clock::start());
+    let edit = Edit {
+        who: "demo".to_owned(),
+        team: "demo".to_owned(),
+        time: unix_seconds(),
+        scope,
+        text,
+        change: Token::random(&mut rand::rng()),
+    };
+    publish::apply(&client, &edit).await
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -60,7 +60,7 @@
     let first = fleet.ask(0, sign("lifted")).await;
     let again = fleet.ask(1, sign("lifted")).await;
     assert_eq!((first.status, &first.body), (again.status, &again.body));
-    assert_eq!(fleet.seen.runs.lock().unwrap()["op1"], 1);
+    assert_eq!(fleet.seen.trace("op1").runs, 1);
     let other = fleet.ask(1, sign("another body")).await;
     assert_eq!((other.outcome(), other.reason()), ("not-run", "idempotency-mismatch"));
     let without = fleet.ask(0, Question::post("/sign/9", "x".into()).key("acme-key")).await;
