Keep one level for each customer and importance, and fail no begun work

Cause: the bound on calls that wait on one service refused them in the middle of a request, and a single cut for all customers fell slowly and hit small customers like large ones.

Change: a guard keeps a level for each customer and importance, raised by what it sheds fairly and lowered fast while slots are free, the more important first; entries keep them by arena key. The bound on waiting calls applies before a request takes a slot, and only where a route is served that does not wait on that service. A wait in the queue ends at the bound, whatever came after. A claim is refused at once while the breaker is open.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -213,7 +213,7 @@
     let isolated = status.isolated.map(|s| format!(" isolated_s={s}")).unwrap_or_default();
     format!(
         "vm={} domain={} service={} state={:?} version={}{late} in_flight={} queued={} slots={} \
-         cut={:.2} unsettled={}{isolated}",
+         unsettled={}{isolated}",
         vm.vm,
         status.own.domain,
         status.own.service,
@@ -222,7 +222,6 @@
         status.load.in_flight,
         status.load.queued,
         status.load.slots,
-        status.load.cut,
         status.unsettled
     )
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -32,6 +32,9 @@
     let Some(backend) = usable_backend(board, &envelope) else {
         return refuse(board, &envelope, Reason::NotReady);
     };
+    if let Err(reason) = board.check_waiting(&envelope.route) {
+        return refuse(board, &envelope, reason);
+    }
     let work = work_of(board, &envelope, deadline);
     let mut permit = match board.gate.enter(work).await {
         Ok(permit) => permit,
@@ -43,11 +46,13 @@
         permit.complete();
     }
     drop(permit);
+    board.learn_served(&envelope.route);
     let live = entry.live();
     let spent = envelope.allowance.saturating_sub(live.ledger.left());
     let mut reach = live.reach();
     let load = board.gate.load();
-    reach.push(Reach { service: envelope.service, cut: load.cut });
+    let level = board.gate.level(work.customer, work.importance);
+    reach.push(Reach { service: envelope.service, level });
     Answer { report: Report { request, spent, load, reach, ..answer.report }, ..answer }
 }
 
@@ -57,6 +62,12 @@
     (board.is_ready() && backend.service == envelope.service).then_some(backend)
 }
 
+fn customer_of(board: &Board, envelope: &Envelope) -> CustomerId {
+    let policy = board.policy.load();
+    let id = envelope.customer.as_deref().and_then(|name| policy.customer_id(name));
+    id.unwrap_or(OPEN_CUSTOMER)
+}
+
 fn work_of(board: &Board, envelope: &Envelope, deadline: Time) -> Work {
     let policy = board.policy.load();
     let id = envelope.customer.as_deref().and_then(|name| policy.customer_id(name));
@@ -79,7 +90,8 @@
         &reason,
     );
     let load = board.gate.load();
-    let reach = vec![Reach { service: envelope.service.clone(), cut: load.cut }];
+    let level = board.gate.level(customer_of(board, envelope), envelope.importance);
+    let reach = vec![Reach { service: envelope.service.clone(), level }];
     let mut answer = Answer::not_run(envelope.request, reason);
     (answer.report.load, answer.report.reach) = (load, reach);
     answer
--- a/src/board.rs
+++ b/src/board.rs
@@ -21,16 +21,18 @@
 use crate::bucket::Bucket;
 use crate::claims;
 use crate::control;
-use crate::document::{CustomerId, Policy};
+use crate::document::{CustomerId, Policy, Route};
 use crate::envelope::Reach;
 use crate::gate::Gate;
-use crate::instance::{Cut, Instances};
+use crate::instance::Instances;
 use crate::journal::Journal;
 use crate::key::FleetKeys;
+use crate::level::Cuts;
 use crate::live::LiveTable;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
 use crate::platform;
+use crate::reason::Reason;
 use crate::settings::Settings;
 use crate::share::Holding;
 use crate::sync::lock;
@@ -99,8 +101,6 @@
 /// What this daemon knows about a service that it calls.
 #[derive(Debug)]
 pub struct ServiceState {
-    /// How much it refuses now.
-    pub cut: Cut,
     waiting: AtomicU32,
     retries: Mutex<Bucket>,
 }
@@ -108,7 +108,6 @@
 impl ServiceState {
     fn new(now: Time) -> Self {
         Self {
-            cut: Cut::default(),
             waiting: AtomicU32::new(0),
             retries: Mutex::new(Bucket::full(0.0, RETRY_BURST, now)),
         }
@@ -124,15 +123,15 @@
         lock(&self.retries).put(ratio, now);
     }
 
-    /// Counts a call that waits on this service, or returns how many do when there is no room.
-    ///
-    /// # Errors
-    ///
-    /// Returns the number of calls that wait.
-    pub fn wait(self: &Arc<Self>, bound: u32) -> Result<Waiting, u32> {
-        let held = self.waiting.fetch_add(1, Ordering::AcqRel);
-        let waiting = Waiting { service: Arc::clone(self) };
-        if held < bound { Ok(waiting) } else { Err(held) }
+    /// Counts a call that waits on this service.
+    pub fn wait(self: &Arc<Self>) -> Waiting {
+        self.waiting.fetch_add(1, Ordering::AcqRel);
+        Waiting { service: Arc::clone(self) }
+    }
+
+    /// Calls of the local backend server that wait on this service.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Acquire)
     }
 }
 
@@ -152,6 +151,7 @@
 #[derive(Debug, Default)]
 pub struct RouteReach {
     services: ArcSwap<BTreeSet<String>>,
+    served: AtomicBool,
 }
 
 impl RouteReach {
@@ -174,10 +174,14 @@
 /// What a request needs beside the policy; replaced as one when the policy changes.
 #[derive(Debug, Default)]
 pub struct Tables {
+    /// Levels of services by name.
+    pub cuts: BTreeMap<String, Cuts>,
     /// Services by name.
     pub services: BTreeMap<String, Arc<ServiceState>>,
     /// Reached services, by route.
     pub routes: BTreeMap<String, Arc<RouteReach>>,
+    /// Services that the local backend server reaches below itself, by route.
+    pub below: BTreeMap<String, Arc<RouteReach>>,
     /// Shares by customer.
     pub shares: BTreeMap<CustomerId, Arc<CustomerShare>>,
 }
@@ -411,21 +415,70 @@
     }
 
     /// Learns from an answer: where the route leads, and how much those services refuse.
-    pub fn learn(&self, route: &str, reach: &[Reach]) {
+    pub fn learn(&self, route: &Route, customer: Option<CustomerId>, reach: &[Reach]) {
         let tables = self.tables.load();
         let now = self.clock.now();
         for one in reach {
-            if let Some(service) = tables.services.get(&one.service) {
-                service.cut.note(one.cut, now);
+            if let Some(cuts) = tables.cuts.get(&one.service) {
+                cuts.of(customer, route.importance).note(one.level, now);
             }
         }
-        if let Some(route) = tables.routes.get(route) {
+        if let Some(route) = tables.routes.get(&route.name) {
             route.learn(reach);
         }
     }
 }
 
+impl Board {
+    /// Learns where a route leads from the local backend server.
+    pub fn learn_below(&self, route: &str, reach: &[Reach]) {
+        if let Some(below) = self.tables.load().below.get(route) {
+            below.learn(reach);
+        }
+    }
+
+    /// Notes that a route is served by the local backend server, wherever it leads.
+    pub fn learn_served(&self, route: &str) {
+        if let Some(below) = self.tables.load().below.get(route) {
+            below.served.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Refuses a request that would wait on a service that already holds its share of the slots.
+    ///
+    /// The bound keeps slots for routes that do not reach that service. Where every route reaches it,
+    /// there is nothing to keep slots for, and the bound does not apply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the service and the numbers.
+    pub fn check_waiting(&self, route: &str) -> Result<(), Reason> {
+        let tables = self.tables.load();
+        let Some(below) = tables.below.get(route) else { return Ok(()) };
+        let slots = self.backend.load().as_ref().map_or(0, |backend| backend.slots);
+        let share = self.policy.load().limits.waiting_share;
+        let bound = ((f64::from(slots) * share) as u32).max(1);
+        for service in below.services().iter() {
+            let held = tables.services.get(service).map_or(0, |state| state.waiting());
+            if held >= bound && tables.serves_without(service) {
+                return Err(Reason::ServiceBound {
+                    service: service.clone(),
+                    held: u64::from(held),
+                    bound: u64::from(bound),
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Tables {
+    /// Whether the local backend server serves a route that does not reach `service`.
+    fn serves_without(&self, service: &str) -> bool {
+        let served = |below: &RouteReach| below.served.load(Ordering::Relaxed);
+        self.below.values().any(|below| served(below) && !below.services().contains(service))
+    }
+
     /// Tables for a new policy that keep the state of what stays.
     fn follow(&self, policy: &Policy, now: Time) -> Self {
         let mut next = Self::default();
@@ -433,10 +486,15 @@
             let state = self.services.get(&service.name).cloned();
             let state = state.unwrap_or_else(|| Arc::new(ServiceState::new(now)));
             next.services.insert(service.name.clone(), state);
+            let old = self.cuts.get(&service.name);
+            let cuts = Cuts::follow(old, policy.customer_count(), now);
+            next.cuts.insert(service.name.clone(), cuts);
         }
         for route in policy.routes() {
             let reach = self.routes.get(&route.name).cloned().unwrap_or_default();
             next.routes.insert(route.name.clone(), reach);
+            let below = self.below.get(&route.name).cloned().unwrap_or_default();
+            next.below.insert(route.name.clone(), below);
         }
         for (id, customer) in policy.customers() {
             let (rate, burst) = (customer.rate, customer.burst);
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -37,8 +37,9 @@
 /// Pause between two looks at another request's claim.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// The longest that making a claim may take, whatever the deadline.
-const CLAIM_TIME: Duration = Duration::from_secs(3);
+/// The longest that making a claim may take, whatever the deadline. It outlasts a lost answer and the
+/// read-back after it; in an outage the caller is told at once when to come back.
+const CLAIM_TIME: Duration = Duration::from_millis(1_500);
 
 /// The largest answer body that is kept in the row itself, in bytes.
 const ROW_BODY: usize = 16 << 10;
@@ -308,25 +309,33 @@
             Ok(Commit::Conflict(_)) | Err(PlatformError::AnswerLost(_)) => {
                 batch = read_back(platform, batch).await;
             }
-            Err(error @ PlatformError::Refused(_)) => {
-                for insert in batch {
-                    let _ = insert.reply.send(Err(error.clone()));
-                }
-                return;
-            }
-            Err(PlatformError::Unavailable(_) | PlatformError::BreakerOpen) => {
-                tokio::time::sleep(PAUSE).await;
+            Err(error @ (PlatformError::Refused(_) | PlatformError::BreakerOpen)) => {
+                return fail(batch, &error);
             }
+            Err(PlatformError::Unavailable(_)) => tokio::time::sleep(PAUSE).await,
         }
     }
 }
 
+fn fail(batch: Vec<Insert>, error: &PlatformError) {
+    for insert in batch {
+        let _ = insert.reply.send(Err(error.clone()));
+    }
+}
+
 /// Answers the claims whose rows exist, and returns those that are still to be inserted.
 async fn read_back(platform: &Client, batch: Vec<Insert>) -> Vec<Insert> {
     let keys = batch.iter().map(|insert| insert.key.clone()).collect();
-    let Ok(rows) = platform.rows(keys).await else {
-        tokio::time::sleep(PAUSE).await;
-        return batch;
+    let rows = match platform.rows(keys).await {
+        Ok(rows) => rows,
+        Err(error @ PlatformError::BreakerOpen) => {
+            fail(batch, &error);
+            return Vec::new();
+        }
+        Err(_) => {
+            tokio::time::sleep(PAUSE).await;
+            return batch;
+        }
     };
     let rows: BTreeMap<String, Claim> =
         rows.iter().filter_map(|row| Some((row.key.clone(), row.decode()?))).collect();
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -56,6 +56,7 @@
 /// Follows the document: polls the head, and fetches from a peer what it heard of there.
 pub async fn documents(board: Arc<Board>) {
     let mut heard = board.newer.subscribe();
+    poll_head(&board).await;
     loop {
         tokio::select! {
             () = tokio::time::sleep(jitter(DOCUMENT_PERIOD)) => poll_head(&board).await,
--- a/src/document/policy.rs
+++ b/src/document/policy.rs
@@ -243,6 +243,11 @@
         self.service_names.get(name).copied()
     }
 
+    /// How many customers have arena keys, also those that are gone.
+    pub fn customer_count(&self) -> usize {
+        self.customers.len()
+    }
+
     /// Customers with their keys, those without a rate left out.
     pub fn customers(&self) -> impl Iterator<Item = (CustomerId, &Customer)> {
         let all = self.customers.iter().enumerate();
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Incoming;
 
-use crate::board::Board;
+use crate::board::{Board, ServiceState};
 use crate::claims;
 use crate::document::{Policy, Route};
 use crate::envelope::RequestId;
@@ -66,10 +66,7 @@
 ) -> Answer {
     let parent = &live.envelope;
     let service = &policy.service(route.service).name;
-    let _waiting = match wait_on(board, policy, service) {
-        Ok(waiting) => waiting,
-        Err(reason) => return Answer::not_run(parent.request, reason),
-    };
+    let _waiting = board.tables.load().services.get(service).map(ServiceState::wait);
     let now = board.clock.now();
     let deadline = live.deadline.min(now + route.deadline);
     let call = Call {
@@ -91,25 +88,6 @@
         claims::send_once(board, call, Arc::clone(&live.ledger)).await
     };
     live.reached(&answer.report.reach);
+    board.learn_below(&parent.route, &answer.report.reach);
     answer
 }
-
-/// Counts the call against the slots that calls to one service may hold.
-fn wait_on(
-    board: &Board,
-    policy: &Policy,
-    service: &str,
-) -> Result<Option<crate::board::Waiting>, Reason> {
-    let tables = board.tables.load();
-    let Some(state) = tables.services.get(service) else { return Ok(None) };
-    let slots = board.backend.load().as_ref().map_or(0, |backend| backend.slots);
-    let bound = ((f64::from(slots) * policy.limits.waiting_share) as u32).max(1);
-    match state.wait(bound) {
-        Ok(waiting) => Ok(Some(waiting)),
-        Err(held) => Err(Reason::ServiceBound {
-            service: service.to_owned(),
-            held: u64::from(held),
-            bound: u64::from(bound),
-        }),
-    }
-}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -16,7 +16,6 @@
 use crate::forward::{self, Call};
 use crate::journal;
 use crate::key::Digest;
-use crate::level;
 use crate::message::{self, Answer, Message, Response};
 use crate::metrics::RequestLabels;
 use crate::reason::{Outcome, Reason};
@@ -73,7 +72,7 @@
     if let Some(customer) = visit.customer {
         check_isolation(board, policy, customer)?;
     }
-    check_cuts(board, route)?;
+    check_levels(board, route, visit.customer)?;
     let limit = policy.limits.request_bytes;
     let body = tokio::time::timeout(route.deadline, message::collect(body, limit)).await;
     let body = body.unwrap_or_else(|_| Err("the body did not arrive in time".to_owned()));
@@ -117,21 +116,25 @@
 }
 
 /// Refuses here what a service on the route's way would refuse later.
-fn check_cuts(board: &Board, route: &Route) -> Result<(), Reason> {
+fn check_levels(board: &Board, route: &Route, customer: Option<CustomerId>) -> Result<(), Reason> {
     let tables = board.tables.load();
     let Some(reach) = tables.routes.get(&route.name) else { return Ok(()) };
     let now = board.clock.now();
-    let highest = reach
-        .services()
-        .iter()
-        .filter_map(|name| Some((tables.services.get(name)?.cut.at(now), name.clone())))
-        .max_by(|a, b| a.0.total_cmp(&b.0));
-    let Some((cut, service)) = highest else { return Ok(()) };
-    if cut <= 0.0 || !level::refuses(cut, route.importance, rand::rng().random()) {
+    let mut highest = (0.0, "");
+    let services = reach.services();
+    for service in services.iter() {
+        let Some(cuts) = tables.cuts.get(service) else { continue };
+        let level = cuts.of(customer, route.importance).at(now);
+        if level > highest.0 {
+            highest = (level, service);
+        }
+    }
+    let (level, service) = highest;
+    if level <= 0.0 || rand::rng().random::<f32>() >= level {
         return Ok(());
     }
-    let refused = (level::refused_share(cut, route.importance) * 100.0) as u64;
-    Err(Reason::Overloaded { service, refused })
+    let refused = (level * 100.0) as u64;
+    Err(Reason::Overloaded { service: service.to_owned(), refused })
 }
 
 /// Takes a token of this VM's share, or borrows one from another owner.
@@ -205,7 +208,7 @@
     } else {
         claims::send_once(board, call, ledger).await
     };
-    board.learn(&route.name, &answer.report.reach);
+    board.learn(route, visit.customer, &answer.report.reach);
     answer
 }
 
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -88,8 +88,6 @@
     pub queued: u32,
     /// Slots in use at most.
     pub slots: u32,
-    /// How much of the less important work the service refuses now; see [`crate::level`].
-    pub cut: f32,
 }
 
 /// What goes with an answer from daemon to daemon.
@@ -105,15 +103,15 @@
     pub load: Load,
     /// Why it was refused.
     pub reason: Option<Reason>,
-    /// Services that the request reached below, with the cut of each.
+    /// Services that the request reached, with the level of each for such requests.
     pub reach: Vec<Reach>,
 }
 
-/// A service that a request reached, and how much it refuses now.
+/// A service that a request reached, and how many like it the service refuses now.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reach {
     /// The service's name.
     pub service: String,
-    /// Its cut; see [`crate::level`].
-    pub cut: f32,
+    /// The share of this customer's work of this importance that it refuses; see [`crate::level`].
+    pub level: f32,
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -14,13 +14,10 @@
 use crate::instance::Instance;
 use crate::message::{self, Answer, Message};
 use crate::reason::{Outcome, Reason};
-use crate::retry::{Ledger, may_retry};
+use crate::retry::{Failure, Ledger};
 use crate::router;
 use crate::time::Time;
 
-/// The least time that must be left for another attempt.
-const LEAST_TIME: Duration = Duration::from_millis(5);
-
 /// A call that is to be sent to an instance of its service.
 #[derive(Debug)]
 pub struct Call {
@@ -62,8 +59,7 @@
             }
             return answer;
         }
-        let again = wants_retry(&answer, call.idempotent)
-            && call.deadline.since(now) > LEAST_TIME
+        let again = failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
             && has_other(board, &service.name, service.ramp, &tried)
             && take_retry(state.as_deref(), ledger, now);
         let answer = keep_doubt(worst.take(), answer);
@@ -85,13 +81,13 @@
     answer
 }
 
-fn wants_retry(answer: &Answer, idempotent: bool) -> bool {
+fn failure(answer: &Answer, left: Duration) -> Failure {
     let report = &answer.report;
     let elsewhere = match &report.reason {
         Some(reason) => reason.is_local(),
         None => answer.status == StatusCode::SERVICE_UNAVAILABLE,
     };
-    elsewhere && may_retry(report.outcome, idempotent)
+    Failure { outcome: report.outcome, elsewhere, left }
 }
 
 fn take_retry(state: Option<&ServiceState>, ledger: &Ledger, now: Time) -> bool {
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -6,9 +6,10 @@
 
 use tokio::sync::oneshot;
 
+use crate::document::{CustomerId, Importance};
 use crate::envelope::Load;
 use crate::guard::{Guard, Offer, Released, Ticket, Work};
-use crate::level::Level;
+use crate::level::Levels;
 use crate::reason::Reason;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -23,7 +24,7 @@
 #[derive(Debug)]
 struct State {
     guard: Guard,
-    level: Level,
+    levels: Levels,
     waiters: BTreeMap<Ticket, oneshot::Sender<Option<Reason>>>,
 }
 
@@ -32,7 +33,7 @@
     pub fn new(clock: Clock, longest_wait: Duration) -> Self {
         let state = State {
             guard: Guard::new(longest_wait),
-            level: Level::new(),
+            levels: Levels::default(),
             waiters: BTreeMap::new(),
         };
         Self { clock, state: Mutex::new(state) }
@@ -50,7 +51,8 @@
         let (ticket, answer) = {
             let mut state = self.lock();
             let (offer, released) = state.guard.offer(work, now);
-            state.level.note(matches!(offer, Offer::Refuse(_)));
+            let refused = matches!(offer, Offer::Refuse(_));
+            state.levels.offered(work.customer, work.importance, refused);
             state.deliver(released);
             match offer {
                 Offer::Run(_) => return Ok(self.permit(now)),
@@ -63,7 +65,11 @@
             }
         };
         let place = Place { gate: self, ticket, answer: Some(answer) };
-        place.wait(work.deadline).await
+        let result = place.wait(work.deadline).await;
+        if result.is_err() {
+            lock(&self.state).levels.displaced(work.customer, work.importance);
+        }
+        result
     }
 
     /// Sets the slots, as the backend server announces them.
@@ -80,16 +86,22 @@
 
     /// The load now.
     pub fn load(&self) -> Load {
-        let now = self.clock.now();
-        let mut state = self.lock();
+        let state = self.lock();
         Load {
             in_flight: state.guard.in_flight() as u32,
             queued: state.guard.queued() as u32,
             slots: state.guard.slots() as u32,
-            cut: state.level.cut(now),
         }
     }
 
+    /// The share of this customer's work of this importance that is refused now.
+    pub fn level(&self, customer: CustomerId, importance: Importance) -> f32 {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let idle = state.guard.is_idle();
+        state.levels.share(customer, importance, idle, now)
+    }
+
     fn permit(self: &Arc<Self>, since: Time) -> Permit {
         Permit { gate: Arc::clone(self), since, whole: false }
     }
@@ -102,10 +114,9 @@
 impl State {
     /// Tells the tasks whose wait ended. A slot for a task that has gone passes to the next one.
     fn deliver(&mut self, released: Released) {
-        for (ticket, reason) in released.shed {
-            self.level.note(true);
-            if let Some(waiter) = self.waiters.remove(&ticket) {
-                let _ = waiter.send(Some(reason));
+        for shed in released.shed {
+            if let Some(waiter) = self.waiters.remove(&shed.ticket) {
+                let _ = waiter.send(Some(shed.reason));
             }
         }
         let mut start = released.start;
@@ -126,10 +137,13 @@
 }
 
 impl Place<'_> {
+    /// Waits until the deadline, but no longer than the queue is bounded: work that came later and
+    /// goes first can make a prediction wrong.
     async fn wait(mut self, deadline: Time) -> Result<Permit, Reason> {
         let left = deadline.since(self.gate.clock.now());
+        let longest = self.gate.lock().guard.longest_wait();
         let Some(answer) = self.answer.as_mut() else { return Err(Reason::Leaving) };
-        let answer = tokio::time::timeout(left, answer).await;
+        let answer = tokio::time::timeout(left.min(longest), answer).await;
         match answer {
             Ok(Ok(None)) => {
                 self.answer = None;
@@ -140,7 +154,10 @@
                 Err(reason)
             }
             Ok(Err(_)) => Err(Reason::Leaving),
-            Err(_) => Err(Reason::DeadlinePassed { allowed: left.as_millis() as u64 }),
+            Err(_) => Err(Reason::QueueDelay {
+                wait: left.min(longest).as_millis() as u64,
+                left: left.as_millis() as u64,
+            }),
         }
     }
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -56,8 +56,21 @@
 pub struct Released {
     /// Tickets that now hold a slot.
     pub start: Vec<Ticket>,
-    /// Tickets that lost their place.
-    pub shed: Vec<(Ticket, Reason)>,
+    /// Requests that lost their place.
+    pub shed: Vec<Shed>,
+}
+
+/// A waiting request that lost its place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Shed {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// Whose it was.
+    pub customer: CustomerId,
+    /// How important it was.
+    pub importance: Importance,
+    /// Why it lost its place.
+    pub reason: Reason,
 }
 
 /// The admission state of one backend server.
@@ -108,6 +121,16 @@
         Duration::from_secs_f64(self.mean_service)
     }
 
+    /// The longest that a request may wait.
+    pub fn longest_wait(&self) -> Duration {
+        self.longest_wait
+    }
+
+    /// Whether a slot is free.
+    pub fn is_idle(&self) -> bool {
+        self.in_flight < self.slots
+    }
+
     /// Changes the bound on the wait, when a new document sets another.
     pub fn set_longest_wait(&mut self, longest_wait: Duration) {
         self.longest_wait = longest_wait;
@@ -134,9 +157,9 @@
         }
         let ticket = self.enqueue(&work);
         let mut shed = self.shed_excess();
-        if let Some(at) = shed.iter().position(|(lost, _)| *lost == ticket) {
-            let (_, reason) = shed.swap_remove(at);
-            return (Offer::Refuse(reason), Released { start: Vec::new(), shed });
+        if let Some(at) = shed.iter().position(|lost| lost.ticket == ticket) {
+            let own = shed.swap_remove(at);
+            return (Offer::Refuse(own.reason), Released { start: Vec::new(), shed });
         }
         (Offer::Wait(ticket), Released { start: self.start_waiting(), shed })
     }
@@ -195,16 +218,17 @@
     }
 
     /// Sheds from the least important class, and there from the customer that holds most.
-    fn shed_excess(&mut self) -> Vec<(Ticket, Reason)> {
+    fn shed_excess(&mut self) -> Vec<Shed> {
         let bound = self.queue_bound();
         let mut shed = Vec::new();
         while self.waiting.len() > bound {
             let reason =
                 Reason::Displaced { queued: self.waiting.len() as u64, slots: self.slots as u64 };
-            let Some((_, class)) = self.classes.iter().next_back() else { break };
-            let Some((_, ticket)) = class.victim() else { break };
+            let Some((rank, class)) = self.classes.iter().next_back() else { break };
+            let Some((ticket, customer)) = class.victim() else { break };
+            let importance = rank.importance;
             self.cancel(ticket);
-            shed.push((ticket, reason));
+            shed.push(Shed { ticket, customer, importance, reason });
         }
         shed
     }
@@ -326,9 +350,10 @@
     }
 
     /// The newest entry of the customer that holds most.
-    fn victim(&self) -> Option<(u64, Ticket)> {
-        let (_, customer) = self.lengths.last()?;
-        self.flows.get(customer)?.entries.last().copied()
+    fn victim(&self) -> Option<(Ticket, CustomerId)> {
+        let &(_, customer) = self.lengths.last()?;
+        let (_, ticket) = *self.flows.get(&customer)?.entries.last()?;
+        Some((ticket, customer))
     }
 
     fn remove(&mut self, tag: u64, ticket: Ticket, customer: CustomerId) {
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -8,7 +8,6 @@
 
 use crate::document::Policy;
 use crate::envelope::Load;
-use crate::level::HIGHEST_CUT;
 use crate::member::{Member, View};
 use crate::router::Candidate;
 use crate::time::Time;
@@ -25,9 +24,6 @@
 /// The smallest part of its slots that a starting instance gets.
 const FIRST_RAMP: f64 = 0.1;
 
-/// How long a reported cut is believed.
-const CUT_TIME: Duration = Duration::from_secs(1);
-
 /// One instance, with the load that came in its answers.
 #[derive(Debug)]
 pub struct Instance {
@@ -157,29 +153,3 @@
             == (&other.vm, other.peers, other.slots, other.ready)
     }
 }
-
-/// How much a service refuses now, as its answers said.
-#[derive(Debug, Default)]
-pub struct Cut {
-    cut: AtomicU32,
-    updated: AtomicU64,
-}
-
-impl Cut {
-    /// Notes a cut that came with an answer. It rises at once and falls by halves.
-    pub fn note(&self, cut: f32, now: Time) {
-        let old = self.at(now);
-        let next = if cut > old { cut } else { (old + cut) / 2.0 };
-        self.cut.store(next.clamp(0.0, HIGHEST_CUT).to_bits(), Ordering::Relaxed);
-        self.updated.store(now.as_micros(), Ordering::Relaxed);
-    }
-
-    /// The cut at `now`; what nobody confirmed lately is not believed.
-    pub fn at(&self, now: Time) -> f32 {
-        let updated = Time::from_micros(self.updated.load(Ordering::Relaxed));
-        if now.since(updated) > CUT_TIME {
-            return 0.0;
-        }
-        f32::from_bits(self.cut.load(Ordering::Relaxed))
-    }
-}
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -232,6 +232,7 @@
                 | Self::NotReady
                 | Self::Leaving
                 | Self::BadAnswer { .. }
+                | Self::ServiceBound { .. }
                 | Self::TooManyConnections { .. }
         )
     }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -6,6 +6,7 @@
 //! allowance. docs/DESIGN.md, "Retries", gives the argument.
 
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 
 use crate::reason::Outcome;
 
@@ -50,12 +51,29 @@
     }
 }
 
-/// Whether a failed attempt may be followed by another, before allowance and buckets are asked.
-///
-/// A request that may have run is repeated only on an idempotent route.
-pub const fn may_retry(outcome: Outcome, idempotent: bool) -> bool {
-    match outcome {
-        Outcome::NotRun => true,
-        Outcome::Ran | Outcome::Unknown => idempotent,
+/// The least time that must be left for another attempt.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+
+/// A failed attempt.
+#[derive(Debug, Clone, Copy)]
+pub struct Failure {
+    /// What is known about whether it ran.
+    pub outcome: Outcome,
+    /// Whether the same request could succeed on another instance at once.
+    pub elsewhere: bool,
+    /// What is left of the deadline.
+    pub left: Duration,
+}
+
+impl Failure {
+    /// Whether another attempt would help and do no harm, before allowance and buckets are asked.
+    ///
+    /// A request that may have run is repeated only on an idempotent route.
+    pub fn may_retry(&self, idempotent: bool) -> bool {
+        let harmless = match self.outcome {
+            Outcome::NotRun => true,
+            Outcome::Ran | Outcome::Unknown => idempotent,
+        };
+        harmless && self.elsewhere && self.left > LEAST_TIME
     }
 }
--- a/standin/src/demo/report.rs
+++ b/standin/src/demo/report.rs
@@ -119,7 +119,7 @@
             p50_ms: 0.0,
             p99_ms: 0.0,
         };
-        let mut times = Histogram::<u64>::new(3).ok();
+        let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).ok();
         for ending in mine {
             row.offered += 1;
             if ending.kind == Kind::Whole {
--- a/standin/src/demo/system.rs
+++ b/standin/src/demo/system.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use gypsumtack::board::CustomerShare;
 use gypsumtack::claims::unix_seconds;
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
@@ -186,8 +187,11 @@
     let tables = board.tables.load();
     let instances = board.instances.load();
     let known = ["register", "archive"].iter().all(|s| instances.of(s).len() == DOMAINS.len());
-    let shared = tables.shares.values().filter(|share| share.holding().parts() > 0).count();
-    policy.version > 0 && known && shared == tables.shares.len()
+    // A customer with a small rate has few owners; the others borrow.
+    let served = |share: &Arc<CustomerShare>| {
+        share.holding().parts() > 0 || !share.lenders.load().is_empty()
+    };
+    policy.version > 0 && known && tables.shares.values().all(served)
 }
 
 /// Counts every time that a VM goes back to an older document.
