Measure the policy beside a naive baseline under virtual time

Cause: nothing told whether the decisions are good.

Change: the policy example runs the library's decisions on small fakes at the sizes of both deployments, beside FIFO queues with retries at every hop.

--- /dev/null
+++ b/examples/policy/fakes.rs
@@ -0,0 +1,655 @@
+//! Fake services and daemons: slots and service times under virtual time, decisions by the library.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::time::Duration;
+
+use gypsumtack::bucket::Bucket;
+use gypsumtack::document::{CustomerId, Importance};
+use gypsumtack::guard::{Guard, Offer, Released, Ticket, Work};
+use gypsumtack::level::{Cuts, Levels};
+use gypsumtack::reason::Outcome;
+use gypsumtack::retry::{Failure, Ledger};
+use gypsumtack::router::{self, Candidate};
+use gypsumtack::time::Time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// The longest wait in a queue of the policy.
+const LONGEST_WAIT: Duration = Duration::from_millis(500);
+/// Attempts of one call in the baseline.
+const NAIVE_ATTEMPTS: usize = 3;
+/// Retries over one request in the policy.
+const ALLOWANCE: u32 = 2;
+/// Retries of a service as a fraction of its successes, and at once.
+const RETRY_RATIO: f64 = 0.1;
+const RETRY_BURST: f64 = 10.0;
+
+/// One service of a call graph.
+pub struct ServiceSpec {
+    pub instances: usize,
+    pub slots: usize,
+    pub own_ms: u64,
+    pub calls: &'static [usize],
+}
+
+/// A deployment of the brief.
+pub struct Deployment {
+    pub name: &'static str,
+    pub services: Vec<ServiceSpec>,
+    /// Time from a caller to an entry, and from one daemon to another.
+    pub caller_ms: u64,
+    pub hop_us: u64,
+    /// The service whose slots bound the whole.
+    pub bottleneck: usize,
+    /// Requests a second of each route that together fill the bottleneck.
+    pub routes: Vec<RouteSpec>,
+}
+
+/// One route: where it enters, and its part of the capacity.
+pub struct RouteSpec {
+    pub service: usize,
+    pub importance: Importance,
+    pub part: f64,
+}
+
+const fn service(
+    instances: usize,
+    slots: usize,
+    own_ms: u64,
+    calls: &'static [usize],
+) -> ServiceSpec {
+    ServiceSpec { instances, slots, own_ms, calls }
+}
+
+fn routes(specs: &[(usize, Importance, f64)]) -> Vec<RouteSpec> {
+    let route = |&(service, importance, part)| RouteSpec { service, importance, part };
+    specs.iter().map(route).collect()
+}
+
+/// Inspection, lists, sign-off; all reach dossiers.
+pub fn casablanca() -> Deployment {
+    use Importance::{Critical, High, Low, Normal};
+    Deployment {
+        name: "casablanca",
+        services: vec![
+            service(3, 15, 10, &[3]),
+            service(4, 150, 40, &[3]),
+            service(3, 130, 40, &[3]),
+            service(3, 110, 60, &[]),
+        ],
+        caller_ms: 1,
+        hop_us: 500,
+        bottleneck: 3,
+        routes: routes(&[
+            (0, Critical, 0.05),
+            (2, Critical, 0.05),
+            (1, High, 0.3),
+            (1, Normal, 0.3),
+            (3, Low, 0.3),
+        ]),
+    }
+}
+
+/// Verification, issuance, limits; all reach status.
+pub fn ulaanbaatar() -> Deployment {
+    use Importance::{Critical, High, Low, Normal};
+    Deployment {
+        name: "ulaanbaatar",
+        services: vec![
+            service(3, 35, 10, &[3]),
+            service(3, 160, 40, &[2]),
+            service(3, 160, 30, &[3]),
+            service(3, 160, 60, &[]),
+        ],
+        caller_ms: 8,
+        hop_us: 500,
+        bottleneck: 3,
+        routes: routes(&[
+            (1, Critical, 0.1),
+            (0, High, 0.08),
+            (2, High, 0.32),
+            (3, Normal, 0.3),
+            (3, Low, 0.2),
+        ]),
+    }
+}
+
+impl Deployment {
+    /// Whole requests a second that fill the bottleneck.
+    pub fn capacity(&self) -> f64 {
+        let spec = &self.services[self.bottleneck];
+        (spec.instances * spec.slots) as f64 / (spec.own_ms as f64 / 1_000.0)
+    }
+}
+
+/// One request of a caller, as it is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    pub customer: CustomerId,
+    pub weight: u32,
+    pub route: usize,
+    pub sent: Time,
+    pub deadline: Time,
+    /// How often its caller has sent it again.
+    pub resent: u32,
+    /// Whether it crashes the instance that runs it.
+    pub crashes: bool,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Whole,
+    OverRate,
+    Shed,
+}
+
+type FrameId = usize;
+type RootId = usize;
+
+enum Event {
+    Arrive(Request),
+    Offer(FrameId),
+    Worked(FrameId, u32),
+    Answered(FrameId, bool, f32),
+    WaitOver(FrameId, Ticket),
+    Deadline(RootId),
+}
+
+struct Root {
+    request: Request,
+    open: bool,
+    frames: Vec<FrameId>,
+}
+
+/// One call to a service, with all its attempts.
+struct Frame {
+    root: RootId,
+    parent: Option<FrameId>,
+    daemon: usize,
+    service: usize,
+    tried: BTreeSet<usize>,
+    ledger: Ledger,
+    lent: u32,
+    state: Stage,
+    next_call: usize,
+    began: Time,
+    level: f32,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Sent(usize),
+    Waiting(usize, Ticket),
+    Running(usize),
+    Over,
+}
+
+/// One VM: an instance, and the daemon beside it.
+struct Vm {
+    service: usize,
+    domain: usize,
+    guard: Guard,
+    levels: Levels,
+    tickets: BTreeMap<Ticket, FrameId>,
+    fifo: VecDeque<FrameId>,
+    running: usize,
+    reported: Vec<u32>,
+    sent: Vec<u32>,
+    cuts: Vec<Cuts>,
+    retries: Vec<Bucket>,
+    epoch: u32,
+}
+
+/// The fakes, and the virtual time.
+pub struct World<'a> {
+    pub now: Time,
+    deployment: &'a Deployment,
+    naive: bool,
+    slowed: f64,
+    vms: Vec<Vm>,
+    frames: Vec<Frame>,
+    roots: Vec<Root>,
+    buckets: Vec<Bucket>,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    pending: BTreeMap<u64, Event>,
+    sequence: u64,
+    rng: SmallRng,
+    pub ended: Vec<(RootId, Time, End)>,
+    /// Slot time spent on all requests, and on each root at the bottleneck and elsewhere.
+    pub spent: Vec<[f64; 2]>,
+    pub attempts: Vec<u32>,
+    pub calls: Vec<u32>,
+}
+
+impl<'a> World<'a> {
+    pub fn new(deployment: &'a Deployment, rates: &[(f64, f64)], naive: bool, seed: u64) -> Self {
+        let count: usize = deployment.services.iter().map(|spec| spec.instances).sum();
+        let mut vms = Vec::new();
+        for (service, spec) in deployment.services.iter().enumerate() {
+            for domain in 0..spec.instances {
+                let mut guard = Guard::new(LONGEST_WAIT);
+                guard.set_slots(spec.slots);
+                vms.push(Vm {
+                    service,
+                    domain: domain % 3,
+                    guard,
+                    levels: Levels::default(),
+                    tickets: BTreeMap::new(),
+                    fifo: VecDeque::new(),
+                    running: 0,
+                    reported: vec![0; count],
+                    sent: vec![0; count],
+                    cuts: deployment
+                        .services
+                        .iter()
+                        .map(|_| Cuts::follow(None, rates.len(), Time::ZERO))
+                        .collect(),
+                    retries: deployment
+                        .services
+                        .iter()
+                        .map(|_| Bucket::full(0.0, RETRY_BURST, Time::ZERO))
+                        .collect(),
+                    epoch: 0,
+                });
+            }
+        }
+        Self {
+            now: Time::ZERO,
+            deployment,
+            naive,
+            slowed: 1.0,
+            vms,
+            frames: Vec::new(),
+            roots: Vec::new(),
+            buckets: rates
+                .iter()
+                .map(|&(rate, burst)| Bucket::full(rate, burst, Time::ZERO))
+                .collect(),
+            events: BinaryHeap::new(),
+            pending: BTreeMap::new(),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            ended: Vec::new(),
+            spent: Vec::new(),
+            attempts: Vec::new(),
+            calls: Vec::new(),
+        }
+    }
+
+    /// Makes the bottleneck slower by this factor.
+    pub fn set_slowed(&mut self, factor: f64) {
+        self.slowed = factor;
+    }
+
+    pub fn request(&self, root: RootId) -> Request {
+        self.roots[root].request
+    }
+
+    /// Sends a request at its time; it arrives at an entry a little later.
+    pub fn send(&mut self, request: Request) {
+        let arrival = request.sent + Duration::from_millis(self.deployment.caller_ms);
+        self.at(arrival, Event::Arrive(request));
+    }
+
+    /// Runs until `end`.
+    pub fn run_until(&mut self, end: Time) {
+        while let Some(Reverse((time, id))) = self.events.peek().copied() {
+            if time > end {
+                break;
+            }
+            self.events.pop();
+            self.now = time;
+            if let Some(event) = self.pending.remove(&id) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn at(&mut self, time: Time, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence)));
+        self.pending.insert(self.sequence, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Offer(frame) => self.offer(frame),
+            Event::Worked(frame, epoch) => self.worked(frame, epoch),
+            Event::Answered(frame, whole, level) => self.answered(frame, whole, level),
+            Event::WaitOver(frame, ticket) => self.wait_over(frame, ticket),
+            Event::Deadline(root) => self.deadline(root),
+        }
+    }
+
+    fn importance(&self, root: RootId) -> Importance {
+        self.deployment.routes[self.roots[root].request.route].importance
+    }
+
+    fn arrive(&mut self, request: Request) {
+        let root = self.roots.len();
+        self.roots.push(Root { request, open: true, frames: Vec::new() });
+        self.spent.push([0.0; 2]);
+        self.attempts.push(0);
+        self.calls.push(0);
+        let entry = self.rng.random_range(0..self.vms.len());
+        let service = self.deployment.routes[request.route].service;
+        if !self.naive {
+            if self.refuses(entry, root) {
+                return self.end(root, End::Shed);
+            }
+            if self.buckets[request.customer.index()].take(1.0, self.now).is_err() {
+                return self.end(root, End::OverRate);
+            }
+        }
+        self.at(request.deadline, Event::Deadline(root));
+        self.call(root, None, entry, service, ALLOWANCE);
+    }
+
+    /// Whether the entry refuses what a service on the way would refuse.
+    fn refuses(&mut self, entry: usize, root: RootId) -> bool {
+        let request = self.roots[root].request;
+        let importance = self.importance(root);
+        let mut services = vec![self.deployment.routes[request.route].service];
+        while let Some(next) = self.deployment.services[services[services.len() - 1]].calls.first()
+        {
+            services.push(*next);
+        }
+        let cut = |service: &usize| {
+            self.vms[entry].cuts[*service].of(Some(request.customer), importance).at(self.now)
+        };
+        let level = services.iter().map(cut).fold(0.0, f32::max);
+        level > 0.0 && self.rng.random::<f32>() < level
+    }
+
+    fn call(
+        &mut self,
+        root: RootId,
+        parent: Option<FrameId>,
+        daemon: usize,
+        service: usize,
+        allowance: u32,
+    ) {
+        let frame = self.frames.len();
+        self.frames.push(Frame {
+            root,
+            parent,
+            daemon,
+            service,
+            tried: BTreeSet::new(),
+            ledger: Ledger::new(allowance),
+            lent: 0,
+            state: Stage::Over,
+            next_call: 0,
+            began: self.now,
+            level: 0.0,
+        });
+        self.roots[root].frames.push(frame);
+        self.calls[root] += 1;
+        self.attempt(frame);
+    }
+
+    fn attempt(&mut self, frame: FrameId) {
+        let (daemon, service) = (self.frames[frame].daemon, self.frames[frame].service);
+        let tried = &self.frames[frame].tried;
+        let all = || self.vms.iter().enumerate().filter(|(_, vm)| vm.service == service);
+        let target = if self.naive {
+            let places: Vec<usize> = all().map(|(index, _)| index).collect();
+            places[self.rng.random_range(0..places.len())]
+        } else {
+            let near = self.vms[daemon].domain;
+            let own = &self.vms[daemon];
+            let candidates: Vec<Candidate> = all()
+                .filter(|(index, _)| !tried.contains(index))
+                .map(|(index, vm)| Candidate {
+                    index,
+                    local: vm.domain == near,
+                    load: own.reported[index].max(own.sent[index]),
+                    slots: self.deployment.services[service].slots as u32,
+                })
+                .collect();
+            let Some(target) = router::choose(&candidates, &mut self.rng) else { return };
+            target
+        };
+        self.vms[daemon].sent[target] += 1;
+        let f = &mut self.frames[frame];
+        f.tried.insert(target);
+        f.lent = f.ledger.lend();
+        f.next_call = 0;
+        f.state = Stage::Sent(target);
+        self.attempts[f.root] += 1;
+        let hop = Duration::from_micros(self.deployment.hop_us);
+        self.at(self.now + hop, Event::Offer(frame));
+    }
+
+    fn offer(&mut self, frame: FrameId) {
+        let Stage::Sent(vm) = self.frames[frame].state else { return };
+        let root = self.frames[frame].root;
+        let request = self.roots[root].request;
+        if self.naive {
+            self.vms[vm].fifo.push_back(frame);
+            self.frames[frame].state = Stage::Waiting(vm, Ticket::default());
+            return self.start_fifo(vm);
+        }
+        let work = Work {
+            customer: request.customer,
+            weight: request.weight,
+            importance: self.importance(root),
+            begun: self.frames[frame].parent.is_some(),
+            deadline: request.deadline,
+        };
+        let (offer, released) = self.vms[vm].guard.offer(work, self.now);
+        let refused = matches!(offer, Offer::Refuse(_));
+        self.vms[vm].levels.offered(work.customer, work.importance, refused);
+        match offer {
+            Offer::Run(_) => self.start(frame, vm),
+            Offer::Refuse(_) => self.answer(frame, vm, false),
+            Offer::Wait(ticket) => {
+                self.vms[vm].tickets.insert(ticket, frame);
+                self.frames[frame].state = Stage::Waiting(vm, ticket);
+                let left = request.deadline.since(self.now).min(LONGEST_WAIT);
+                self.at(self.now + left, Event::WaitOver(frame, ticket));
+            }
+        }
+        self.release(vm, released);
+    }
+
+    fn release(&mut self, vm: usize, released: Released) {
+        for shed in released.shed {
+            if let Some(frame) = self.vms[vm].tickets.remove(&shed.ticket) {
+                self.answer(frame, vm, false);
+            }
+        }
+        for ticket in released.start {
+            if let Some(frame) = self.vms[vm].tickets.remove(&ticket) {
+                self.start(frame, vm);
+            }
+        }
+    }
+
+    fn start_fifo(&mut self, vm: usize) {
+        let slots = self.deployment.services[self.vms[vm].service].slots;
+        while self.vms[vm].running < slots {
+            let Some(frame) = self.vms[vm].fifo.pop_front() else { return };
+            self.vms[vm].running += 1;
+            self.start(frame, vm);
+        }
+    }
+
+    fn start(&mut self, frame: FrameId, vm: usize) {
+        self.frames[frame].state = Stage::Running(vm);
+        self.frames[frame].began = self.now;
+        let service = self.vms[vm].service;
+        let slowed = if service == self.deployment.bottleneck { self.slowed } else { 1.0 };
+        let mean = self.deployment.services[service].own_ms as f64 / 1_000.0 * slowed;
+        let time = Duration::from_secs_f64(mean * self.rng.random_range(0.5..1.5));
+        let epoch = self.vms[vm].epoch;
+        self.at(self.now + time, Event::Worked(frame, epoch));
+    }
+
+    /// The instance has done its own work: call on, or answer.
+    fn worked(&mut self, frame: FrameId, epoch: u32) {
+        let Stage::Running(vm) = self.frames[frame].state else { return };
+        if self.vms[vm].epoch != epoch {
+            return;
+        }
+        let root = self.frames[frame].root;
+        let calls = self.deployment.services[self.vms[vm].service].calls;
+        let Some(&next) = calls.get(self.frames[frame].next_call) else {
+            return self.finish(frame, vm, true);
+        };
+        self.frames[frame].next_call += 1;
+        let allowance = self.frames[frame].lent;
+        self.call(root, Some(frame), vm, next, allowance);
+    }
+
+    /// Gives the slot back and answers.
+    fn finish(&mut self, frame: FrameId, vm: usize, whole: bool) {
+        self.free(frame, vm, whole);
+        self.answer(frame, vm, whole);
+    }
+
+    fn free(&mut self, frame: FrameId, vm: usize, whole: bool) {
+        let service = self.vms[vm].service;
+        let span = self.now.since(self.frames[frame].began);
+        let place = usize::from(service != self.deployment.bottleneck);
+        self.spent[self.frames[frame].root][place] += span.as_secs_f64();
+        if self.naive {
+            self.vms[vm].running -= 1;
+            self.start_fifo(vm);
+        } else {
+            let released = self.vms[vm].guard.finish(whole.then_some(span));
+            self.release(vm, released);
+        }
+    }
+
+    /// Sends an attempt's answer back to the daemon that made it.
+    fn answer(&mut self, frame: FrameId, vm: usize, whole: bool) {
+        self.frames[frame].state = Stage::Over;
+        let root = self.frames[frame].root;
+        let (customer, importance) = (self.roots[root].request.customer, self.importance(root));
+        let (now, target) = (self.now, &mut self.vms[vm]);
+        let idle = target.guard.is_idle();
+        let level = target.levels.share(customer, importance, idle, now);
+        let load = (target.guard.in_flight() + target.guard.queued()) as u32;
+        let daemon = self.frames[frame].daemon;
+        self.vms[daemon].reported[vm] = load;
+        self.vms[daemon].sent[vm] -= 1;
+        let hop = Duration::from_micros(self.deployment.hop_us);
+        self.at(self.now + hop, Event::Answered(frame, whole, level));
+    }
+
+    fn answered(&mut self, frame: FrameId, whole: bool, level: f32) {
+        let (root, service) = (self.frames[frame].root, self.frames[frame].service);
+        if !self.roots[root].open && !self.naive {
+            return;
+        }
+        let f = &mut self.frames[frame];
+        f.level = f.level.max(level);
+        f.ledger.give_back(f.lent);
+        let daemon = self.frames[frame].daemon;
+        if whole {
+            self.vms[daemon].retries[service].put(RETRY_RATIO, self.now);
+        } else if self.retries(frame) {
+            return self.attempt(frame);
+        }
+        self.learn(frame);
+        match self.frames[frame].parent {
+            None => self.end(root, if whole { End::Whole } else { End::Shed }),
+            Some(parent) if whole => {
+                let epoch = match self.frames[parent].state {
+                    Stage::Running(vm) => self.vms[vm].epoch,
+                    _ => return,
+                };
+                self.worked(parent, epoch);
+            }
+            Some(parent) => {
+                if let Stage::Running(vm) = self.frames[parent].state {
+                    self.finish(parent, vm, false);
+                }
+            }
+        }
+    }
+
+    fn retries(&mut self, frame: FrameId) -> bool {
+        let f = &self.frames[frame];
+        if self.naive {
+            return f.tried.len() < NAIVE_ATTEMPTS && self.calls_left(frame);
+        }
+        let left = self.roots[f.root].request.deadline.since(self.now);
+        let refused = f.next_call == 0;
+        let failure = Failure { outcome: Outcome::NotRun, elsewhere: refused, left };
+        let other = f.tried.len() < self.deployment.services[f.service].instances;
+        let bucket = &mut self.vms[f.daemon].retries[f.service];
+        failure.may_retry(true) && other && bucket.take(1.0, self.now).is_ok() && f.ledger.spend()
+    }
+
+    fn calls_left(&self, frame: FrameId) -> bool {
+        let root = self.frames[frame].root;
+        self.now < self.roots[root].request.deadline
+    }
+
+    /// The entry learns from an answer; a hop passes on what it learned.
+    fn learn(&mut self, frame: FrameId) {
+        let f = &self.frames[frame];
+        let (root, service, level) = (f.root, f.service, f.level);
+        let mut top = frame;
+        while let Some(parent) = self.frames[top].parent {
+            top = parent;
+        }
+        let entry = self.frames[top].daemon;
+        let customer = self.roots[root].request.customer;
+        let importance = self.importance(root);
+        self.vms[entry].cuts[service].of(Some(customer), importance).note(level, self.now);
+    }
+
+    fn wait_over(&mut self, frame: FrameId, ticket: Ticket) {
+        let Stage::Waiting(vm, waiting) = self.frames[frame].state else { return };
+        if waiting != ticket || !self.vms[vm].guard.cancel(ticket) {
+            return;
+        }
+        self.vms[vm].tickets.remove(&ticket);
+        let root = self.frames[frame].root;
+        let (customer, importance) = (self.roots[root].request.customer, self.importance(root));
+        self.vms[vm].levels.displaced(customer, importance);
+        self.answer(frame, vm, false);
+    }
+
+    /// The caller stops waiting. The policy cancels everything below; the baseline works on.
+    fn deadline(&mut self, root: RootId) {
+        if !self.roots[root].open {
+            return;
+        }
+        self.end(root, End::Shed);
+        if self.naive {
+            return;
+        }
+        for frame in self.roots[root].frames.clone() {
+            let daemon = self.frames[frame].daemon;
+            match self.frames[frame].state {
+                Stage::Waiting(vm, ticket) => {
+                    self.vms[vm].guard.cancel(ticket);
+                    self.vms[vm].tickets.remove(&ticket);
+                    self.vms[daemon].sent[vm] -= 1;
+                }
+                Stage::Running(vm) => {
+                    self.vms[daemon].sent[vm] -= 1;
+                    self.frames[frame].state = Stage::Over;
+                    self.free(frame, vm, false);
+                }
+                Stage::Sent(vm) => self.vms[daemon].sent[vm] -= 1,
+                Stage::Over => {}
+            }
+            self.frames[frame].state = Stage::Over;
+        }
+    }
+
+    fn end(&mut self, root: RootId, end: End) {
+        if std::mem::replace(&mut self.roots[root].open, false) {
+            self.ended.push((root, self.now, end));
+        }
+    }
+}
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -22,7 +22,7 @@
 const WEIGHT_UNIT: u64 = 64;
 
 /// Names one request while it waits or runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
 
 /// What the guard needs to know about a request.
