Refuse by a fair rate for each importance, in the order of importance

Change: each guard keeps a fair rate a unit of weight for each importance, in the manner of core-stateless fair queueing; a request says with which probability its entry let it pass, so that offered rates are estimated without bias. The fair rate falls with what is shed, grows with the free slots, and waits for more important work to return first.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -36,7 +36,7 @@
         return refuse(board, &envelope, reason);
     }
     let work = work_of(board, &envelope, deadline);
-    let mut permit = match board.gate.enter(work).await {
+    let mut permit = match board.gate.enter(work, envelope.passed).await {
         Ok(permit) => permit,
         Err(reason) => return refuse(board, &envelope, reason),
     };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -34,7 +34,7 @@
     let start = board.clock.now();
     let id = RequestId::random(&mut rand::rng());
     let policy = board.policy.load_full();
-    let mut visit = Visit { id, start, route: None, customer: None };
+    let mut visit = Visit { id, start, route: None, customer: None, passed: 1.0 };
     let answer = match admit(&board, &policy, &mut visit, request).await {
         Ok(message) => pass(&board, &policy, &visit, message).await,
         Err(reason) => Answer::not_run(id, reason),
@@ -49,6 +49,7 @@
     start: Time,
     route: Option<&'a Route>,
     customer: Option<CustomerId>,
+    passed: f32,
 }
 
 /// Decides whether a request enters, and reads all of it.
@@ -72,7 +73,7 @@
     if let Some(customer) = visit.customer {
         check_isolation(board, policy, customer)?;
     }
-    check_levels(board, route, visit.customer)?;
+    visit.passed = pass_levels(board, route, visit.customer)?;
     let limit = policy.limits.request_bytes;
     let body = tokio::time::timeout(route.deadline, message::collect(body, limit)).await;
     let body = body.unwrap_or_else(|_| Err("the body did not arrive in time".to_owned()));
@@ -115,10 +116,11 @@
     Err(Reason::Isolated { seconds: span.as_secs() })
 }
 
-/// Refuses here what a service on the route's way would refuse later.
-fn check_levels(board: &Board, route: &Route, customer: Option<CustomerId>) -> Result<(), Reason> {
+/// Refuses here what a service on the route's way would refuse later. Returns the probability with
+/// which such a request passes.
+fn pass_levels(board: &Board, route: &Route, customer: Option<CustomerId>) -> Result<f32, Reason> {
     let tables = board.tables.load();
-    let Some(reach) = tables.routes.get(&route.name) else { return Ok(()) };
+    let Some(reach) = tables.routes.get(&route.name) else { return Ok(1.0) };
     let now = board.clock.now();
     let mut highest = (0.0, "");
     let services = reach.services();
@@ -131,7 +133,7 @@
     }
     let (level, service) = highest;
     if level <= 0.0 || rand::rng().random::<f32>() >= level {
-        return Ok(());
+        return Ok(1.0 - level);
     }
     let refused = (level * 100.0) as u64;
     Err(Reason::Overloaded { service: service.to_owned(), refused })
@@ -193,6 +195,7 @@
         hops: 0,
         domain: board.settings.failure_domain.clone(),
         service: policy.service(route.service).name.clone(),
+        passed: visit.passed,
         claimed: !route.idempotent,
     };
     let call = Call {
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -75,6 +75,8 @@
     pub domain: String,
     /// The service that is to run it.
     pub service: String,
+    /// The probability with which the entry let it pass; see [`crate::level`].
+    pub passed: f32,
     /// Whether a claim makes sure that the request runs at most once.
     pub claimed: bool,
 }
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -9,7 +9,7 @@
 use crate::document::{CustomerId, Importance};
 use crate::envelope::Load;
 use crate::guard::{Guard, Offer, Released, Ticket, Work};
-use crate::level::Levels;
+use crate::level::{Levels, Offered};
 use crate::reason::Reason;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -39,20 +39,26 @@
         Self { clock, state: Mutex::new(state) }
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot. `passed` is the probability with which the entry let the request pass.
     ///
     /// Dropping the future takes the request out of the queue.
     ///
     /// # Errors
     ///
     /// Returns why the request was refused; no byte of it has reached the backend server.
-    pub async fn enter(self: &Arc<Self>, work: Work) -> Result<Permit, Reason> {
+    pub async fn enter(self: &Arc<Self>, work: Work, passed: f32) -> Result<Permit, Reason> {
         let now = self.clock.now();
         let (ticket, answer) = {
             let mut state = self.lock();
             let (offer, released) = state.guard.offer(work, now);
-            let refused = matches!(offer, Offer::Refuse(_));
-            state.levels.offered(work.customer, work.importance, refused);
+            let offered = Offered {
+                customer: work.customer,
+                weight: work.weight,
+                importance: work.importance,
+                passed,
+                shed: matches!(offer, Offer::Refuse(_)),
+            };
+            state.levels.offered(offered, now);
             state.deliver(released);
             match offer {
                 Offer::Run(_) => return Ok(self.permit(now)),
@@ -67,7 +73,7 @@
         let place = Place { gate: self, ticket, answer: Some(answer) };
         let result = place.wait(work.deadline).await;
         if result.is_err() {
-            lock(&self.state).levels.displaced(work.customer, work.importance);
+            lock(&self.state).levels.displaced(work.importance);
         }
         result
     }
@@ -98,7 +104,7 @@
     pub fn level(&self, customer: CustomerId, importance: Importance) -> f32 {
         let now = self.clock.now();
         let mut state = self.lock();
-        let idle = state.guard.is_idle();
+        let idle = state.guard.idle();
         state.levels.share(customer, importance, idle, now)
     }
 
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -126,9 +126,9 @@
         self.longest_wait
     }
 
-    /// Whether a slot is free.
-    pub fn is_idle(&self) -> bool {
-        self.in_flight < self.slots
+    /// The part of the slots that is free, from 0 to 1.
+    pub fn idle(&self) -> f32 {
+        1.0 - (self.in_flight as f32 / self.slots.max(1) as f32).min(1.0)
     }
 
     /// Changes the bound on the wait, when a new document sets another.
@@ -292,7 +292,7 @@
 struct Class {
     queue: BTreeMap<(u64, Ticket), CustomerId>,
     flows: BTreeMap<CustomerId, Flow>,
-    lengths: BTreeSet<(usize, CustomerId)>,
+    lengths: BTreeSet<(u64, CustomerId)>,
     virtual_time: u64,
     weight: u64,
 }
@@ -308,6 +308,13 @@
     entries: BTreeSet<(u64, Ticket)>,
 }
 
+impl Flow {
+    /// What the customer holds of the queue, for each unit of its weight.
+    fn held(&self) -> u64 {
+        self.entries.len() as u64 * WEIGHT_UNIT / self.weight.max(1)
+    }
+}
+
 impl Class {
     fn len(&self) -> usize {
         self.queue.len()
@@ -335,11 +342,11 @@
             flow.weight = weight;
             self.weight += weight;
         } else {
-            self.lengths.remove(&(flow.entries.len(), work.customer));
+            self.lengths.remove(&(flow.held(), work.customer));
         }
         flow.finish = tag + (WEIGHT_UNIT / flow.weight).max(1);
         flow.entries.insert((tag, ticket));
-        self.lengths.insert((flow.entries.len(), work.customer));
+        self.lengths.insert((flow.held(), work.customer));
         self.queue.insert((tag, ticket), work.customer);
         tag
     }
@@ -359,7 +366,7 @@
     fn remove(&mut self, tag: u64, ticket: Ticket, customer: CustomerId) {
         self.queue.remove(&(tag, ticket));
         let Some(flow) = self.flows.get_mut(&customer) else { return };
-        self.lengths.remove(&(flow.entries.len(), customer));
+        self.lengths.remove(&(flow.held(), customer));
         let newest = flow.entries.last() == Some(&(tag, ticket));
         flow.entries.remove(&(tag, ticket));
         if newest && tag > self.virtual_time {
@@ -368,7 +375,7 @@
         if flow.entries.is_empty() {
             self.weight -= flow.weight;
         } else {
-            self.lengths.insert((flow.entries.len(), customer));
+            self.lengths.insert((flow.held(), customer));
         }
     }
 }
--- a/src/level.rs
+++ b/src/level.rs
@@ -1,9 +1,9 @@
 //! How much work a service refuses before it has cost a slot anywhere.
 //!
-//! A guard keeps one level for each customer and importance: the share of that work that it would
-//! refuse. The level travels back in answers, and entries refuse there what would be refused deeper.
-//! Because the guard sheds fairly, the levels are fair too. A level rises at once and falls slowly
-//! (hysteresis), the more important first. docs/DESIGN.md, "Feedback", gives the control law.
+//! A guard derives a level for each customer and importance: the share of that work that it refuses.
+//! The level travels back in answers, and entries refuse there what would be refused deeper. Levels
+//! rise at once and fall slowly (hysteresis), the more important first. docs/DESIGN.md, "Feedback",
+//! gives the control law and the ways that were weighed.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
@@ -15,101 +15,197 @@
 /// The highest level. What it lets through are probes that keep the estimate honest.
 pub const HIGHEST: f32 = 0.98;
 
-/// How often a level is decided about.
-const INTERVAL: Duration = Duration::from_millis(50);
+/// How often a fair rate is decided about at most.
+const INTERVAL: Duration = Duration::from_millis(100);
 
-/// How much one interval in which everything was shed raises a level.
-const RISE: f32 = 0.5;
+/// How often it is decided about when few requests come.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How fast a level falls while the slots are full, a second.
-const SLOW_FALL: f32 = 0.1;
+/// Requests that make a decision worth taking before [`LONGEST_INTERVAL`].
+const ENOUGH: u32 = 20;
 
-/// How fast a level falls while slots are free, a second.
-const FAST_FALL: f32 = 1.0;
+/// How fast a fair rate grows while all slots are in use, as a part of itself a second. It keeps the
+/// queue from running dry.
+const SLOW_RISE: f32 = 0.3;
+
+/// How fast it grows for the free part of the slots, as a part of itself a second.
+const FAST_RISE: f32 = 30.0;
+
+/// How much one decision lowers a fair rate when everything was shed, as a part of itself.
+const STEEPEST: f32 = 0.5;
+
+/// Over which time a customer's rate is averaged.
+const RATE_TIME: Duration = Duration::from_millis(500);
+
+/// The least time between two updates of a customer's rate.
+const RATE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A level below which work counts as admitted.
-const SMALL: f32 = 0.02;
+const SMALL: f32 = 0.05;
 
 /// How long an entry believes a level that nobody confirmed.
 const BELIEF_TIME: Duration = Duration::from_millis(500);
 
+/// How fast a level falls at an entry after that, a second.
+const STALE_FALL: f32 = 2.0;
+
 /// The levels of one guard.
+///
+/// Each importance has a fair rate for a unit of weight. A customer that offers more than its weight
+/// times the fair rate is refused the rest, and one that offers less is refused nothing, as in
+/// core-stateless fair queueing (Stoica, Shenker and Zhang, 1998).
 #[derive(Debug, Default)]
 pub struct Levels {
-    levels: BTreeMap<LevelKey, Level>,
+    classes: [Class; Importance::ALL.len()],
 }
 
-/// Names one level: importance first, so that levels are in the order in which work survives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct LevelKey {
-    importance: Importance,
-    customer: CustomerId,
-}
-
-/// The level of one customer's work of one importance.
-#[derive(Debug, Clone, Copy, Default)]
-struct Level {
-    share: f32,
+/// The work of one importance.
+#[derive(Debug)]
+struct Class {
+    /// Requests a second for a unit of weight; infinite while nothing is refused.
+    fair: f32,
     offered: u32,
     shed: u32,
     decided: Time,
+    flows: BTreeMap<CustomerId, Flow>,
+}
+
+/// What one customer offers, entries' refusals included.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    weight: f32,
+    rate: f32,
+    count: f32,
+    updated: Time,
+}
+
+/// One request that came to a guard.
+#[derive(Debug, Clone, Copy)]
+pub struct Offered {
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// The customer's weight.
+    pub weight: u32,
+    /// How important it is.
+    pub importance: Importance,
+    /// With which probability its entry let it pass. It stands for as many more that were refused.
+    pub passed: f32,
+    /// Whether the guard refused it for want of slots.
+    pub shed: bool,
 }
 
 impl Levels {
-    /// Notes one request that was offered to the guard, and whether it was refused for want of slots.
-    pub fn offered(&mut self, customer: CustomerId, importance: Importance, shed: bool) {
-        let level = self.levels.entry(LevelKey { importance, customer }).or_default();
-        level.offered += 1;
-        level.shed += u32::from(shed);
+    /// Notes one request that came to the guard.
+    pub fn offered(&mut self, offered: Offered, now: Time) {
+        let class = &mut self.classes[offered.importance as usize];
+        class.offered += 1;
+        class.shed += u32::from(offered.shed);
+        let new = Flow { weight: 1.0, rate: 0.0, count: 0.0, updated: now };
+        let flow = class.flows.entry(offered.customer).or_insert(new);
+        flow.weight = offered.weight.max(1) as f32;
+        flow.count += 1.0 / offered.passed.max(1.0 - HIGHEST);
+        flow.update(now);
     }
 
     /// Notes one waiting request that lost its place.
-    pub fn displaced(&mut self, customer: CustomerId, importance: Importance) {
-        self.levels.entry(LevelKey { importance, customer }).or_default().shed += 1;
+    pub fn displaced(&mut self, importance: Importance) {
+        self.classes[importance as usize].shed += 1;
     }
 
-    /// The share of this work that is refused now. `idle` says whether slots are free.
+    /// The share of this customer's work of this importance that is refused now. `idle` is the free
+    /// part of the slots.
     pub fn share(
         &mut self,
         customer: CustomerId,
         importance: Importance,
-        idle: bool,
+        idle: f32,
         now: Time,
     ) -> f32 {
-        let key = LevelKey { importance, customer };
-        let held = self.is_held(importance);
-        let Some(level) = self.levels.get_mut(&key) else { return 0.0 };
-        level.decide(idle, held, now);
-        level.share
+        let (better, rest) = self.classes.split_at_mut(importance as usize);
+        let held = better.iter().any(Class::is_refused);
+        let class = &mut rest[0];
+        class.decide(idle, held, now);
+        class.level(customer)
     }
+}
 
-    /// Whether more important work is still refused, so that this must wait with its return.
-    fn is_held(&self, importance: Importance) -> bool {
-        let end = LevelKey { importance, customer: CustomerId::new(0) };
-        self.levels.range(..end).any(|(_, level)| level.share > SMALL)
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            fair: f32::INFINITY,
+            offered: 0,
+            shed: 0,
+            decided: Time::ZERO,
+            flows: BTreeMap::new(),
+        }
     }
 }
 
-impl Level {
-    fn decide(&mut self, idle: bool, held: bool, now: Time) {
+impl Class {
+    fn level(&self, customer: CustomerId) -> f32 {
+        self.flows.get(&customer).map_or(0.0, |flow| flow.level(self.fair))
+    }
+
+    /// Whether so much is refused that less important work must wait with its return.
+    fn is_refused(&self) -> bool {
+        if self.fair.is_infinite() {
+            return false;
+        }
+        let rates = || self.flows.values().map(|flow| flow.rate);
+        let refused = self.flows.values().map(|flow| flow.rate * flow.level(self.fair));
+        refused.sum::<f32>() > SMALL * rates().sum::<f32>()
+    }
+
+    fn decide(&mut self, idle: f32, held: bool, now: Time) {
         let span = now.since(self.decided);
-        if span < INTERVAL {
+        if span < INTERVAL || (self.offered < ENOUGH && span < LONGEST_INTERVAL) {
             return;
         }
-        let fall = if idle { FAST_FALL } else { SLOW_FALL };
-        let fallen = fall * span.as_secs_f32().min(1.0);
-        self.share = match self.shed {
-            0 if held => self.share,
-            0 => self.share - fallen,
-            shed => {
-                let part = (shed as f32 / self.offered.max(1) as f32).min(1.0);
-                // What is already refused counts as shed, so the step shrinks near the top.
-                self.share + RISE * part * (1.0 - self.share)
-            }
-        };
-        self.share = self.share.clamp(0.0, HIGHEST);
+        if self.shed > 0 {
+            let part = (self.shed as f32 / self.offered.max(1) as f32).min(1.0);
+            let highest = self.highest_rate();
+            // Probes pass anyway, so a lower fair rate would only come back later.
+            let least = highest * (1.0 - HIGHEST);
+            self.fair = (self.fair.min(highest) * (1.0 - STEEPEST * part)).max(least);
+        } else if !held {
+            let span = span.min(LONGEST_INTERVAL).as_secs_f32();
+            self.fair *= 1.0 + (SLOW_RISE + FAST_RISE * idle) * span;
+        }
+        self.flows.retain(|_, flow| flow.is_alive(now));
+        if self.fair >= self.highest_rate() {
+            self.fair = f32::INFINITY;
+        }
         (self.offered, self.shed, self.decided) = (0, 0, now);
     }
+
+    /// The highest rate for a unit of weight that any customer offers.
+    fn highest_rate(&self) -> f32 {
+        self.flows.values().map(|flow| flow.rate / flow.weight).fold(0.0, f32::max)
+    }
+}
+
+impl Flow {
+    fn update(&mut self, now: Time) {
+        let span = now.since(self.updated);
+        if span < RATE_INTERVAL {
+            return;
+        }
+        let span = span.as_secs_f32();
+        let old = (-span / RATE_TIME.as_secs_f32()).exp();
+        self.rate = self.rate * old + self.count / span * (1.0 - old);
+        (self.count, self.updated) = (0.0, now);
+    }
+
+    fn level(&self, fair: f32) -> f32 {
+        if self.rate <= 0.0 {
+            return 0.0;
+        }
+        (1.0 - fair * self.weight / self.rate).clamp(0.0, HIGHEST)
+    }
+
+    fn is_alive(&self, now: Time) -> bool {
+        now.since(self.updated) < RATE_TIME * 10
+    }
 }
 
 /// A level as an entry knows it, from the answers of a service's instances.
@@ -133,7 +229,7 @@
         let share = f32::from_bits(self.share.load(Ordering::Relaxed));
         let updated = Time::from_micros(self.updated.load(Ordering::Relaxed));
         let stale = now.since(updated).saturating_sub(BELIEF_TIME);
-        (share - FAST_FALL * stale.as_secs_f32()).max(0.0)
+        (share - STALE_FALL * stale.as_secs_f32()).max(0.0)
     }
 }
 
