Test bad input at every edge and failures over real sockets

Cause: refusals of bad input, planned stops, drains, withdrawn keys, outages, lost answers and cancellation had no test.

Heads over the limit get a typed refusal.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,153 @@
+//! The time of each decision on the path of a request. `cargo bench --bench decisions`.
+
+#![allow(missing_docs, reason = "the benchmark macro adds a function")]
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use gypsumtack::document::{CustomerId, Document, Importance, Policy};
+use gypsumtack::envelope::{Envelope, RequestId};
+use gypsumtack::guard::{Guard, Offer, Work};
+use gypsumtack::key::{Digest, FleetKeys};
+use gypsumtack::level::{Cuts, Levels, Offered};
+use gypsumtack::retry::Ledger;
+use gypsumtack::router::{self, Candidate};
+use gypsumtack::share::{Holding, WHOLE};
+use gypsumtack::time::Time;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// How many customers a decision is measured with.
+const CUSTOMERS: [u32; 3] = [8, 80, 800];
+
+fn policy(customers: u32) -> Policy {
+    let mut text = String::from(
+        "[owners]\nowners = \"o\"\nlimits = \"o\"\nfailure_domains = \"o\"\nservices = \"o\"\n\
+         customers = \"o\"\nroutes = \"o\"\n[failure_domains]\n[services.s]\n[routes.r]\n\
+         path = \"/r\"\nservice = \"s\"\nimportance = \"high\"\nidempotent = true\n\
+         deadline_ms = 1000\n",
+    );
+    for at in 0..customers {
+        let digest = Digest::of(&at.to_le_bytes());
+        text.push_str(&format!(
+            "[customers.c{at}]\nrate = 1e9\nburst = 1e9\nkeys = [\"{digest}\"]\n"
+        ));
+    }
+    let document = Document::parse(&text, "bench").expect("the document is valid");
+    Policy::compile(&document, 1, &Policy::empty())
+}
+
+fn work(customer: u32, now: Time) -> Work {
+    Work {
+        customer: CustomerId::new(customer),
+        weight: 1,
+        importance: Importance::High,
+        begun: false,
+        deadline: now + Duration::from_secs(1),
+    }
+}
+
+fn envelope() -> Envelope {
+    Envelope {
+        request: RequestId::random(&mut SmallRng::seed_from_u64(1)),
+        customer: Some("bouskoura".to_owned()),
+        route: "lists".to_owned(),
+        importance: Importance::High,
+        left: 1_000_000,
+        allowed: 1_000,
+        allowance: 2,
+        hops: 1,
+        domain: "anfa".to_owned(),
+        service: "lists".to_owned(),
+        passed: 1.0,
+        claimed: false,
+    }
+}
+
+/// Everything that is decided about one request at its entry and at its guard.
+fn whole_path(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("whole path of a request");
+    for count in CUSTOMERS {
+        let policy = policy(count);
+        let cuts = Cuts::follow(None, count as usize, Time::ZERO);
+        let mut holding = Holding::new(1e9, 1e9, Time::ZERO);
+        holding.adopt(WHOLE, Time::from_millis(u64::MAX >> 20), Time::ZERO, Time::ZERO);
+        holding.fill(Time::ZERO);
+        let mut guard = Guard::new(Duration::from_millis(500));
+        guard.set_slots(100);
+        let mut levels = Levels::default();
+        let mut rng = SmallRng::seed_from_u64(1);
+        let candidates: Vec<Candidate> = (0..7)
+            .map(|index| Candidate { index, local: index < 3, load: 3, slots: 100 })
+            .collect();
+        let mut at = 0_u32;
+        group.bench_function(BenchmarkId::new("customers", count), |bencher| {
+            bencher.iter(|| {
+                at += 1;
+                let now = Time::from_micros(u64::from(at));
+                let digest = Digest::of(&(at % count).to_le_bytes());
+                let customer = policy.authenticate(&digest).unwrap_or(CustomerId::new(0));
+                let route = policy.route("GET", "/r/1");
+                let level = cuts.of(Some(customer), Importance::High).at(now);
+                let token = holding.take(now);
+                let ledger = Ledger::new(2);
+                let lent = ledger.lend();
+                let target = router::choose(&candidates, &mut rng);
+                let (offer, _) = guard.offer(work(customer.index() as u32, now), now);
+                let offered = Offered {
+                    customer,
+                    weight: 1,
+                    importance: Importance::High,
+                    passed: 1.0 - level,
+                    shed: matches!(offer, Offer::Refuse(_)),
+                };
+                levels.offered(offered, now);
+                let share = levels.share(customer, Importance::High, guard.idle(), now);
+                ledger.give_back(lent);
+                guard.finish(Some(Duration::from_millis(1)));
+                black_box((route, token.is_ok(), target, share))
+            });
+        });
+    }
+    group.finish();
+}
+
+/// A guard whose slots are full and whose queue holds many customers.
+fn full_queue(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("full queue");
+    for count in CUSTOMERS {
+        let mut guard = Guard::new(Duration::from_millis(500));
+        guard.set_slots(100);
+        let mut at = 0_u32;
+        for _ in 0..2_000 {
+            at += 1;
+            guard.offer(work(at % count, Time::ZERO), Time::ZERO);
+        }
+        group.bench_function(BenchmarkId::new("customers", count), |bencher| {
+            bencher.iter(|| {
+                at += 1;
+                let now = Time::from_micros(u64::from(at));
+                let offer = guard.offer(work(at % count, now), now);
+                let next = guard.finish(Some(Duration::from_millis(10)));
+                black_box((offer, next))
+            });
+        });
+    }
+    group.finish();
+}
+
+fn envelopes(criterion: &mut Criterion) {
+    let fleet = FleetKeys::derive(&["a secret of the bench".to_owned()]);
+    let envelope = envelope();
+    let sealed = fleet.seal_text(&envelope);
+    criterion.bench_function("seal an envelope", |bencher| {
+        bencher.iter(|| black_box(fleet.seal_text(&envelope)));
+    });
+    criterion.bench_function("open an envelope", |bencher| {
+        bencher.iter(|| black_box(fleet.open_text::<Envelope>(sealed.as_bytes())));
+    });
+}
+
+criterion_group!(benches, whole_path, full_queue, envelopes);
+criterion_main!(benches);
--- /dev/null
+++ b/benches/latency.rs
@@ -0,0 +1,109 @@
+//! The time that two daemons add to a call, beside calling the backend server directly, in one run.
+//! `cargo bench --bench latency`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gypsumtack::envelope::Token;
+use gypsumtack::publish::{self, Edit, Scope};
+use gypsumtack::time::Clock;
+use gypsumtack::{Daemon, Digest, Settings, platform, settings};
+use gypsumtack_standin::backend::{Backend, Plan, Seen};
+use gypsumtack_standin::caller::{Caller, Question};
+use gypsumtack_standin::platform::Platform;
+
+/// Pairs of calls that are measured, after the same number to warm up divided by ten.
+const PAIRS: usize = 10_000;
+
+/// Calls a second that are sent in pairs, one direct and one through two daemons.
+const RATE: u32 = 500;
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(run());
+}
+
+async fn run() {
+    let platform = Platform::start(([127, 0, 0, 1], 0).into(), 1).await.expect("platform");
+    apply(platform.address()).await;
+    let entry = daemon("entry", platform.address()).await;
+    let guard = daemon("guard", platform.address()).await;
+    let plan =
+        Plan { service: "s".into(), slots: 64, service_ms: 0, calls: Vec::new(), cold_ms: 0 };
+    let listen = guard.board().settings.listen.clone();
+    let backend = Backend::start(plan, listen.egress, listen.operators, Arc::new(Seen::default()))
+        .await
+        .expect("backend server");
+    let board = entry.board();
+    while board.instances.load().of("s").is_empty()
+        || board.tables.load().shares.values().any(|share| share.holding().parts() == 0)
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let caller = Caller::new();
+    let (mut direct, mut through, mut added) = (Vec::new(), Vec::new(), Vec::new());
+    let mut tick = tokio::time::interval(Duration::from_secs(1) / RATE);
+    for at in 0..PAIRS + PAIRS / 10 {
+        tick.tick().await;
+        let first = call(&caller, backend.address()).await;
+        let second = call(&caller, board.settings.listen.callers).await;
+        if at >= PAIRS / 10 {
+            direct.push(first);
+            through.push(second);
+            added.push(second.saturating_sub(first));
+        }
+    }
+    println!("calls that were paired: {PAIRS}, one pair at a time, {RATE} pairs a second at most");
+    for (name, times) in [("direct", direct), ("two daemons", through), ("added (paired)", added)] {
+        println!("{name:<15} {}", quantiles(times));
+    }
+    entry.stop().await;
+    guard.stop().await;
+    backend.stop();
+}
+
+fn quantiles(mut times: Vec<Duration>) -> String {
+    times.sort();
+    let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize].as_secs_f64() * 1e3;
+    format!("p50 {:.3} ms  p90 {:.3} ms  p99 {:.3} ms", at(0.5), at(0.9), at(0.99))
+}
+
+async fn call(caller: &Caller, address: SocketAddr) -> Duration {
+    let start = Instant::now();
+    let answer = caller.ask(address, Question::get("/s/1").key("bench-key")).await;
+    assert!(answer.is_ok_and(|answer| answer.status.is_success()), "a call failed");
+    start.elapsed()
+}
+
+async fn daemon(vm: &str, platform: SocketAddr) -> Daemon {
+    let text = format!(
+        "vm = \"{vm}\"\nfailure_domain = \"a\"\n[listen]\ncallers = \"127.0.0.1:0\"\n\
+         egress = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\n\
+         operators = \"127.0.0.1:0\"\n[platform]\naddress = \"{platform}\"\n\
+         [fleet]\nsecrets = [\"a secret of the bench\"]\n[limits]\nleave_ms = 10\n"
+    );
+    Daemon::start(Settings::parse(&text, "bench").expect("settings")).await.expect("daemon")
+}
+
+async fn apply(address: SocketAddr) {
+    let digest = Digest::of(b"bench-key");
+    let text = format!(
+        "[owners]\nowners = \"o\"\nlimits = \"o\"\nfailure_domains = \"o\"\nservices = \"o\"\n\
+         customers = \"o\"\nroutes = \"o\"\n[failure_domains.a]\nregion = \"r\"\n[services.s]\n\
+         [customers.c]\nrate = 100000.0\nburst = 100000.0\nkeys = [\"{digest}\"]\n\
+         [routes.r]\npath = \"/s\"\nservice = \"s\"\nimportance = \"high\"\nidempotent = true\n\
+         deadline_ms = 5000\n"
+    );
+    let edit = Edit {
+        who: "bench".into(),
+        team: "o".into(),
+        time: 0,
+        scope: Scope::Whole,
+        text,
+        change: Token::random(&mut rand::rng()),
+    };
+    let settings = settings::Platform { address, timeout_ms: 1_000 };
+    let client = platform::Client::new(&settings, Clock::start());
+    publish::apply(&client, &edit).await.expect("the document is accepted");
+}
--- a/src/log.rs
+++ b/src/log.rs
@@ -11,7 +11,7 @@
 pub fn start() {
     let filter = EnvFilter::try_from_env(FILTER)
         .unwrap_or_else(|_| EnvFilter::new("info,xitca_server=warn"));
-    let lines = tracing_logfmt::builder().with_target(false).layer();
+    let lines = tracing_logfmt::builder().with_target(false).layer().with_writer(std::io::stderr);
     let lines =
         tracing_subscriber::Layer::with_filter(tracing_subscriber::Layer::boxed(lines), filter);
     let _ = tracing_subscriber::registry().with(lines).try_init();
--- a/src/server.rs
+++ b/src/server.rs
@@ -9,8 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -25,6 +23,12 @@
 /// How long a connection over the limit has to send its request and read the refusal.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Heads up to this many times the limit get a refusal that says so; larger ones get hyper's own.
+const HEAD_ROOM: usize = 4;
+
+/// The smallest buffer that hyper accepts, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+
 /// How long the listener rests after the system refused it a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -67,8 +71,12 @@
         };
         let handler = handler.clone();
         let service = service_fn(move |request| {
-            let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let head = oversized_head(&request, bounds);
+            let answer = head.is_none().then(|| handler(request));
+            async move {
+                let Some(answer) = answer else { return Ok(refusal(head)) };
+                Ok::<_, Infallible>(answer.await)
+            }
         });
         let connection = builder(bounds).serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
@@ -81,12 +89,30 @@
     graceful.shutdown().await;
 }
 
+/// The refusal of a request whose head is larger than the settings allow.
+fn oversized_head(request: &http::Request<Incoming>, bounds: Bounds) -> Option<Reason> {
+    let headers = request.headers().iter();
+    let size: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let size = size + request.uri().path().len() + request.uri().query().map_or(0, str::len);
+    let limit = bounds.header_bytes;
+    (size > limit).then(|| {
+        let problem = format!("the request's head has {size} bytes and may have {limit}");
+        Reason::BadRequest { problem }
+    })
+}
+
+fn refusal(reason: Option<Reason>) -> Response {
+    let request = RequestId::random(&mut rand::rng());
+    let reason = reason.unwrap_or(Reason::Leaving);
+    Answer::not_run(request, reason).into_response()
+}
+
 fn builder(bounds: Bounds) -> hyper::server::conn::http1::Builder {
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(bounds.header_time)
-        .max_buf_size(bounds.header_bytes.max(8 << 10));
+        .max_buf_size(bounds.header_bytes * HEAD_ROOM + LEAST_BUFFER);
     builder
 }
 
@@ -94,10 +120,7 @@
 async fn refuse(stream: TcpStream, bounds: Bounds) {
     let limit = bounds.connections as u64;
     let service = service_fn(move |_| async move {
-        let request = RequestId::random(&mut rand::rng());
-        let reason = Reason::TooManyConnections { limit };
-        let answer = Answer::not_run(request, reason).into_response();
-        Ok::<http::Response<Full<Bytes>>, Infallible>(answer)
+        Ok::<_, Infallible>(refusal(Some(Reason::TooManyConnections { limit })))
     });
     let mut builder = builder(bounds);
     let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,186 @@
+//! Failures over real sockets: stops, drains, withdrawn keys, outages and callers that go away.
+
+mod fleet;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fleet::{Fleet, document, document_with, edit, plan, until};
+use gypsumtack::publish::{self, Scope};
+use gypsumtack_standin::caller::Question;
+use gypsumtack_standin::platform::Faults;
+use http::HeaderName;
+
+const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
+
+async fn two_of_deep(service_ms: u64) -> Fleet {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.add("a", plan("deep", 8, service_ms, &[])).await;
+    fleet.add("b", plan("deep", 8, service_ms, &[])).await;
+    fleet.settle(&["deep"]).await;
+    fleet
+}
+
+fn section(document: &str, name: &str) -> String {
+    let sections = gypsumtack::document::Sections::split(document, "test").unwrap();
+    sections.get(name).unwrap().text.clone()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request_in_flight() {
+    let mut fleet = two_of_deep(600).await;
+    let entry = fleet.nodes[0].callers();
+    let caller = fleet.caller.clone();
+    let ask = move |at: usize| {
+        let caller = caller.clone();
+        tokio::spawn(async move {
+            caller.ask(entry, Question::get(&format!("/deep/{at}")).key("acme-key")).await
+        })
+    };
+    let requests: Vec<_> = (0..6).map(ask).collect();
+    let seen = fleet.seen.clone();
+    until("all run", || seen.begun.load(Ordering::Relaxed) == 6).await;
+    let node = fleet.nodes.remove(0);
+    node.daemon.stop().await;
+    for request in requests {
+        let answer = request.await.unwrap().unwrap();
+        assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "ran"));
+    }
+    let rows = fleet.platform.table();
+    let owned = rows.scan("share/").any(|row| row.value.contains("vm-0"));
+    assert!(!owned, "its shares were handed back");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_backend_server_gets_no_new_work() {
+    let fleet = two_of_deep(1).await;
+    fleet.nodes[1].backend.drain();
+    let board = fleet.nodes[0].daemon.board();
+    until("the other VM has heard", || board.instances.load().of("deep").len() == 1).await;
+    let own = fleet.nodes[1].daemon.board();
+    until("its own grace is over", || !own.is_ready()).await;
+    let before = fleet.begun();
+    for at in 0..20 {
+        let answer = fleet.ask(at % 2, Question::get("/deep").key("acme-key")).await;
+        assert_eq!(answer.outcome(), "ran", "{answer:?}");
+    }
+    assert_eq!(fleet.begun() - before, 20);
+    assert_eq!(fleet.nodes[1].backend.in_flight(), 0);
+    assert_eq!(fleet.seen.late.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_working_for_a_connected_caller() {
+    let fleet = two_of_deep(1).await;
+    let ask = |node: usize| fleet.ask(node, Question::get("/deep").key("acme-key"));
+    assert_eq!(ask(0).await.outcome(), "ran");
+    let customers = section(&document(), "customers");
+    let without = customers.lines().map(|line| match line.starts_with("keys") {
+        true => "keys = []\n".to_owned(),
+        false => format!("{line}\n"),
+    });
+    let scope = Scope::Section { name: "customers".into(), expect: 1 };
+    let edit = edit(&without.collect::<String>(), scope);
+    let version = publish::apply(&fleet.client(), &edit).await.unwrap();
+    for node in &fleet.nodes {
+        let board = node.daemon.board();
+        until("the document is everywhere", || board.policy.load().version == version).await;
+    }
+    for node in 0..2 {
+        let answer = ask(node).await;
+        assert_eq!((answer.outcome(), answer.reason()), ("not-run", "unknown-key"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_stops_only_claims_and_leaves_none_behind() {
+    let fleet = two_of_deep(1).await;
+    fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+    let sign = |key: &'static str| {
+        let question = Question::post("/sign", "x".into()).key("acme-key");
+        fleet.ask(0, question.header(IDEMPOTENCY, key))
+    };
+    let refused = sign("k1").await;
+    assert_eq!((refused.outcome(), refused.reason()), ("not-run", "claim-unavailable"));
+    assert_eq!(fleet.ask(1, Question::get("/deep").key("acme-key")).await.outcome(), "ran");
+    assert_eq!(fleet.begun(), 1, "only the idempotent request ran");
+    fleet.platform.set_faults(Faults::default());
+    let board = fleet.nodes[0].daemon.board();
+    until("the refused claim is settled", || board.claims.unsettled() == 0).await;
+    let mut again = sign("k1").await;
+    for _ in 0..50 {
+        if again.reason() != "claim-unavailable" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        again = sign("k1").await;
+    }
+    assert_eq!(again.outcome(), "ran", "{again:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_table_run_nothing_twice() {
+    let fleet = two_of_deep(1).await;
+    fleet.platform.set_faults(Faults { lose_answers: 0.5, ..Faults::default() });
+    let mut ran = 0;
+    for at in 0..12 {
+        let key = format!("k{at}");
+        let operation = format!("op{at}");
+        for node in 0..2 {
+            let question = Question::post("/sign", "x".into())
+                .key("acme-key")
+                .header(IDEMPOTENCY, &key)
+                .header(gypsumtack_standin::backend::OPERATION, &operation);
+            let answer = fleet.ask(node, question).await;
+            ran += usize::from(answer.outcome() == "ran");
+        }
+        assert!(fleet.seen.trace(&operation).begun.len() <= 1, "{operation} ran twice");
+    }
+    assert!(ran > 0, "some of them ran");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_cancels_its_work_at_every_hop() {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.add("a", plan("front", 8, 1, &["/deep/1"])).await;
+    fleet.add("b", plan("deep", 8, 60_000, &[])).await;
+    fleet.settle(&["front", "deep"]).await;
+    let entry = fleet.nodes[1].callers();
+    let caller = fleet.caller.clone();
+    let request =
+        tokio::spawn(
+            async move { caller.ask(entry, Question::get("/front").key("acme-key")).await },
+        );
+    let seen = fleet.seen.clone();
+    until("both hops run", || seen.begun.load(Ordering::Relaxed) == 2).await;
+    request.abort();
+    until("both hops are cancelled", || seen.cancelled.load(Ordering::Relaxed) == 2).await;
+    for node in &fleet.nodes {
+        let board = node.daemon.board();
+        until("the slots are free", || board.gate.load().in_flight == 0).await;
+        assert!(board.live.is_empty());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_customer_over_its_rate_is_refused_over_all_entries_together() {
+    let digest = gypsumtack::Digest::of(b"small-key");
+    let small = format!("[customers.small]\nrate = 0.5\nburst = 12.0\nkeys = [\"{digest}\"]\n");
+    let mut fleet = Fleet::start(&document_with(&small)).await;
+    for domain in ["a", "b", "b"] {
+        fleet.add(domain, plan("deep", 8, 1, &[])).await;
+    }
+    fleet.settle(&["deep"]).await;
+    let started = std::time::Instant::now();
+    let mut ran = 0;
+    for at in 0..60 {
+        let answer = fleet.ask(at % 3, Question::get("/deep").key("small-key")).await;
+        match answer.outcome() {
+            "ran" => ran += 1,
+            _ => assert_eq!(answer.reason(), "over-rate"),
+        }
+    }
+    let most = 12.0 + 0.5 * started.elapsed().as_secs_f64();
+    assert!(f64::from(ran) <= most, "{ran} of at most {most}");
+    assert!(ran > 0);
+}
--- /dev/null
+++ b/tests/hostile.rs
@@ -0,0 +1,185 @@
+//! Bad input at every edge: each case gets a typed refusal and touches nothing else.
+
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fleet::{Fleet, document, document_with, plan, settings_text, until};
+use gypsumtack::Settings;
+use gypsumtack::board::BackendServer;
+use gypsumtack_standin::caller::Question;
+use http::{HeaderName, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+async fn one_service(limits: &str) -> Fleet {
+    let mut fleet = Fleet::start(&document()).await;
+    let text = settings_text("vm-0", "a", fleet.platform.address()) + limits;
+    fleet.add_with(Settings::parse(&text, "test").unwrap(), plan("deep", 4, 1, &[])).await;
+    fleet.settle(&["deep"]).await;
+    fleet
+}
+
+async fn assert_serves(fleet: &Fleet) {
+    let answer = fleet.ask(0, Question::get("/deep/ok").key("acme-key")).await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+}
+
+/// Sends bytes and reads until the other side closes or `quiet` passes without a byte.
+async fn raw(address: SocketAddr, bytes: &[u8], quiet: Duration) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4096];
+    while let Ok(Ok(read)) = tokio::time::timeout(quiet, stream.read(&mut buffer)).await {
+        if read == 0 {
+            break;
+        }
+        answer.extend_from_slice(&buffer[..read]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_oversized_heads_and_bodies() {
+    let fleet = one_service("header_bytes = 4096\n").await;
+    let big = "x".repeat(6_000);
+    let name = HeaderName::from_static("x-filler");
+    let question = Question::get("/deep").key("acme-key").header(name, &big);
+    let answer = fleet.ask(0, question).await;
+    assert_eq!((answer.outcome(), answer.reason()), ("not-run", "bad-request"));
+    let body = vec![b'x'; (1 << 20) + 1];
+    let answer = fleet.ask(0, Question::post("/deep", body.into()).key("acme-key")).await;
+    assert_eq!((answer.outcome(), answer.reason()), ("not-run", "bad-request"));
+    assert_eq!(fleet.begun(), 0);
+    assert_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn survives_garbage_on_every_listener() {
+    let fleet = one_service("").await;
+    let listen = fleet.nodes[0].daemon.board().settings.listen.clone();
+    let garbage: Vec<u8> = (0..2_000_u32).map(|at| (at * 7 % 251) as u8).collect();
+    for address in [listen.callers, listen.egress, listen.peers, listen.control, listen.operators] {
+        raw(address, &garbage, Duration::from_millis(200)).await;
+        raw(address, b"\xff\xff\xff\xff", Duration::from_millis(100)).await;
+    }
+    assert_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_forged_envelopes_and_tokens() {
+    let fleet = one_service("").await;
+    let listen = fleet.nodes[0].daemon.board().settings.listen.clone();
+    let envelope = HeaderName::from_static("x-gypsumtack-envelope");
+    for forged in ["", "AAAA", "not base64 at all", &"A".repeat(400)] {
+        let question = Question::get("/deep").header(envelope.clone(), forged);
+        let answer = fleet.caller.ask(listen.peers, question).await.unwrap();
+        assert_eq!((answer.outcome(), answer.reason()), ("not-run", "bad-envelope"));
+    }
+    let token = HeaderName::from_static("x-request-token");
+    for forged in ["", "0123", &"f".repeat(32)] {
+        let question = Question::get("/deep").header(token.clone(), forged);
+        let answer = fleet.caller.ask(listen.egress, question).await.unwrap();
+        assert_eq!((answer.outcome(), answer.reason()), ("not-run", "unknown-token"));
+    }
+    assert_eq!(fleet.begun(), 0);
+    assert_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cuts_slow_heads_and_drops_work_of_half_closed_callers() {
+    let fleet = one_service("header_ms = 300\n").await;
+    let callers = fleet.nodes[0].callers();
+    let slow = raw(callers, b"GET /deep HTTP/1.1\r\nhost: x\r\n", Duration::from_secs(5));
+    let (_, ()) = tokio::join!(slow, assert_serves(&fleet));
+    let mut stream = TcpStream::connect(callers).await.unwrap();
+    let head =
+        "POST /deep HTTP/1.1\r\nhost: x\r\nx-api-key: acme-key\r\ncontent-length: 10\r\n\r\nabc";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+    let begun = fleet.begun();
+    let mut rest = Vec::new();
+    let _ = stream.read_to_end(&mut rest).await;
+    assert_eq!(fleet.begun(), begun, "a request that is not whole does not run");
+    assert_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_a_connection_over_the_limit_with_a_reason() {
+    let fleet = one_service("caller_connections = 2\n").await;
+    let callers = fleet.nodes[0].callers();
+    let first = TcpStream::connect(callers).await.unwrap();
+    let second = TcpStream::connect(callers).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let request = b"GET /deep HTTP/1.1\r\nhost: x\r\nx-api-key: acme-key\r\n\r\n";
+    let answer = raw(callers, request, Duration::from_secs(2)).await;
+    assert!(answer.contains("x-reason: too-many-connections"), "{answer}");
+    drop((first, second));
+}
+
+/// A backend server that answers each request with the next of `answers`, then closes.
+async fn strange_backend(fleet: &Fleet, answers: Vec<&'static str>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for answer in answers.iter().cycle() {
+            let Ok((mut stream, _)) = listener.accept().await else { return };
+            let mut buffer = [0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    let board = fleet.nodes[0].daemon.board();
+    fleet.nodes[0].backend.stop();
+    let backend = BackendServer { service: "deep".into(), address, slots: 4, draining: false };
+    board.announce(backend);
+    until("the strange one is announced", || {
+        board.backend.load().as_ref().is_some_and(|backend| backend.address == address)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn never_passes_on_an_answer_that_is_not_whole_or_comes_twice() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    const SHORT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok";
+    const CUT: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab";
+    const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother";
+    let fleet = one_service("").await;
+    strange_backend(&fleet, vec![SHORT, WHOLE, CUT, WHOLE, "garbage\r\n\r\n", WHOLE, TWICE, WHOLE])
+        .await;
+    let ask = || fleet.ask(0, Question::get("/deep").key("acme-key"));
+    for _ in 0..3 {
+        let bad = ask().await;
+        assert_eq!((bad.outcome(), bad.reason()), ("unknown", "bad-answer"));
+        assert_eq!(&ask().await.body[..], b"ok");
+    }
+    assert_eq!(&ask().await.body[..], b"ok", "the first of two answers is the answer");
+    assert_eq!(&ask().await.body[..], b"ok", "the second does not meet the next request");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_of_another_length_than_announced_is_refused() {
+    let fleet = one_service("").await;
+    let request = "POST /deep HTTP/1.1\r\nhost: x\r\nx-api-key: acme-key\r\n\
+                   transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n";
+    let answer = raw(fleet.nodes[0].callers(), request.as_bytes(), Duration::from_secs(2)).await;
+    assert!(answer.is_empty() || answer.contains("400"), "{answer}");
+    assert_eq!(fleet.begun(), 0);
+    assert_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edit_that_is_refused_changes_nothing() {
+    let fleet = one_service("").await;
+    let board = fleet.nodes[0].daemon.board();
+    let bad = document_with("[routes.more]\npath = \"more\"\n");
+    let scope = gypsumtack::publish::Scope::Section { name: "routes".into(), expect: 1 };
+    let edit = fleet::edit(&bad, scope);
+    let error = gypsumtack::publish::apply(&fleet.client(), &edit).await.unwrap_err();
+    assert!(error.to_string().contains("keep only entries below [routes]"), "{error}");
+    assert_eq!(board.policy.load().version, 1);
+    assert_serves(&fleet).await;
+}
