Check histories of shares, claims and the document

Change: one VM's side of a customer's row is pure (keeper, lease), and runs in random histories with lost and delayed answers, pauses, lapses and loans; the same for claims with crashes and for racing editors. Each check is shown to fail on broken variants. The guard runs beside a sorted list, retries over random trees, merges of members in any order. A sole owner now gives up a part when others join: the history showed an owner that kept everything for ever.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 
 use crate::board::{Board, CustomerShare};
 use crate::control;
-use crate::document::{Document, Policy};
+use crate::document::{CustomerId, Document, Policy};
 use crate::error::PlatformError;
+use crate::keeper::{Keeper, Reading, Term, Written};
+use crate::lease::{self, Leases};
 use crate::member::{Record, State};
 use crate::platform::{Client, Commit, Row, Transaction};
 use crate::publish::{self, Body, Head};
@@ -47,9 +48,6 @@
 /// The prefix of members' rows.
 pub const MEMBERS: &str = "member/";
 
-/// The prefix of leases.
-const LEASES: &str = "lease/";
-
 /// The prefix of shares.
 const SHARES: &str = "share/";
 
@@ -235,62 +233,14 @@
     }
 }
 
-/// One VM's lease, renewed by counting up.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Lease {
-    incarnation: u64,
-    count: u64,
-}
-
 /// What the share controller keeps between rounds.
 #[derive(Debug, Default)]
 struct Known {
     leases: Leases,
-    /// Rows that a write of unknown outcome may still change. Until a later write to the same row
-    /// rules that out, the share may only become smaller.
-    doubtful: BTreeSet<String>,
-}
-
-/// Leases of other VMs as this one has seen them, by its own clock.
-#[derive(Debug, Default)]
-struct Leases {
-    seen: BTreeMap<String, Seen>,
-}
-
-/// A version of a lease and when it was first seen.
-#[derive(Debug)]
-struct Seen {
-    version: u64,
-    first: Time,
+    keepers: BTreeMap<CustomerId, Keeper>,
 }
 
-impl Leases {
-    fn note(&mut self, rows: &[Row], now: Time) {
-        for row in rows {
-            let Some(vm) = row.key.strip_prefix(LEASES) else { continue };
-            match self.seen.get_mut(vm) {
-                Some(seen) if seen.version == row.version => {}
-                _ => {
-                    let seen = Seen { version: row.version, first: now };
-                    self.seen.insert(vm.to_owned(), seen);
-                }
-            }
-        }
-    }
-
-    /// VMs whose leases have not changed for longer than they are good for.
-    fn lapsed(&self, now: Time) -> BTreeSet<String> {
-        let bound = share::LEASE + share::LEASE_MARGIN;
-        let old = self.seen.iter().filter(|(_, seen)| now.since(seen.first) > bound);
-        old.map(|(vm, _)| vm.clone()).collect()
-    }
-
-    fn version(&self, vm: &str) -> u64 {
-        self.seen.get(vm).map_or(0, |seen| seen.version)
-    }
-}
-
-/// One round: renew, read, adopt, plan. Returns whether anything is still moving.
+/// One round: renew, read, adopt, propose. Returns whether anything is still moving.
 async fn round(board: &Board, known: &mut Known) -> Result<bool, PlatformError> {
     let policy = board.policy.load_full();
     if policy.version == 0 || board.is_leaving() {
@@ -298,7 +248,7 @@
     }
     let sent = board.clock.now();
     renew(board).await?;
-    known.leases.note(&board.platform.scan(LEASES).await?, board.clock.now());
+    known.leases.note(&board.platform.scan(lease::PREFIX).await?, board.clock.now());
     let rows = board.platform.scan(SHARES).await?;
     let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
     let isolation = Duration::from_secs(policy.limits.isolation_s);
@@ -308,36 +258,17 @@
         let Some(share) = board.tables.load().shares.get(&id).cloned() else { continue };
         let key = format!("{SHARES}{}", customer.name);
         let row = rows.get(key.as_str()).copied();
-        let current: Shares = row.and_then(Row::decode).unwrap_or_default();
-        let place = Place { key: &key, row, burst: customer.burst };
-        moved |= follow(board, &share, &place, &current, term, known).await?;
+        let reading = Reading { key: &key, row, leases: &known.leases, term };
+        let keeper = known.keepers.entry(id).or_default();
+        moved |= follow(board, &share, reading, customer.burst, keeper).await?;
     }
     Ok(moved)
 }
 
-/// Until when a share is good, if it is not renewed.
-#[derive(Debug, Clone, Copy)]
-struct Term {
-    lease_end: Time,
-    floor_end: Time,
-}
-
-/// One customer's row.
-#[derive(Debug)]
-struct Place<'a> {
-    key: &'a str,
-    row: Option<&'a Row>,
-    burst: f64,
-}
-
 async fn renew(board: &Board) -> Result<(), PlatformError> {
-    let key = format!("{LEASES}{}", board.settings.vm);
-    let row = board.platform.row(&key).await?;
-    let old: Option<Lease> = row.as_ref().and_then(Row::decode);
-    let count = old.map_or(0, |lease| lease.count) + 1;
-    let lease = Lease { incarnation: board.incarnation, count };
-    let version = row.map_or(0, |row| row.version);
-    let transaction = Transaction::default().check(&key, version).put(&key, &lease);
+    let me = &board.settings.vm;
+    let row = board.platform.row(&lease::key(me)).await?;
+    let transaction = lease::renew(me, board.incarnation, row.as_ref());
     match board.platform.commit(&transaction).await? {
         Commit::Done(_) => Ok(()),
         Commit::Conflict(_) => Err(PlatformError::Refused("the lease was taken".to_owned())),
@@ -348,69 +279,36 @@
 async fn follow(
     board: &Board,
     share: &CustomerShare,
-    place: &Place<'_>,
-    current: &Shares,
-    term: Term,
-    known: &mut Known,
+    reading: Reading<'_>,
+    burst: f64,
+    keeper: &mut Keeper,
 ) -> Result<bool, PlatformError> {
     let me = &board.settings.vm;
     let now = board.clock.now();
-    let doubtful = known.doubtful.contains(place.key);
-    let own = current.owners.get(me).map_or(0, |owner| owner.parts);
-    let demand = {
+    let current: Shares = reading.row.and_then(Row::decode).unwrap_or_default();
+    share.lenders.store(Arc::new(current.lenders(me).map(str::to_owned).collect()));
+    let lapsed = reading.leases.lapsed(now);
+    let proposal = {
         let mut holding = share.holding();
-        let parts = if doubtful { own.min(holding.parts()) } else { own };
-        holding.adopt(parts, term.lease_end, term.floor_end, now);
-        holding.demand(now)
+        let ask = Ask {
+            vm: me,
+            domain: &board.settings.failure_domain,
+            demand: holding.demand(now),
+            burst,
+            lapsed: &lapsed,
+            fleet: fleet(board),
+        };
+        keeper.propose(&mut holding, reading, &ask, now)
     };
-    share.lenders.store(Arc::new(current.lenders(me).map(str::to_owned).collect()));
-    let lapsed = known.leases.lapsed(now);
-    let ask = Ask {
-        vm: me,
-        domain: &board.settings.failure_domain,
-        demand,
-        burst: place.burst,
-        lapsed: &lapsed,
-        fleet: fleet(board),
+    let Some(proposal) = proposal else { return Ok(false) };
+    let result = board.platform.commit(&proposal.transaction).await;
+    let written = match result {
+        Ok(Commit::Done(_)) => Written::Done,
+        Ok(Commit::Conflict(_)) => Written::Conflict,
+        Err(_) => Written::Lost,
     };
-    let next = current.plan(&ask);
-    if next == *current && !doubtful {
-        return Ok(false);
-    }
-    let parts = next.owners.get(me).map_or(0, |owner| owner.parts);
-    share.holding().shrink(parts, board.clock.now());
-    known.doubtful.insert(place.key.to_owned());
-    let transaction = reassignment(place, current, &next, &known.leases);
-    let commit = board.platform.commit(&transaction).await?;
-    known.doubtful.remove(place.key);
-    if let Commit::Done(_) = commit {
-        let now = board.clock.now();
-        let mut holding = share.holding();
-        holding.adopt(parts, term.lease_end, term.floor_end, now);
-        if place.row.is_none() {
-            holding.fill(now);
-        }
-    }
-    Ok(true)
-}
-
-/// The transaction from one row to the next. A renewal that comes in between must win over a
-/// reassignment, so the leases of those who lose a share are checked.
-fn reassignment(
-    place: &Place<'_>,
-    current: &Shares,
-    next: &Shares,
-    leases: &Leases,
-) -> Transaction {
-    let version = place.row.map_or(0, |row| row.version);
-    let mut transaction = Transaction::default().check(place.key, version).put(place.key, next);
-    for (vm, owner) in &current.owners {
-        let loses = next.owners.get(vm).is_none_or(|next| next.lapsed);
-        if loses && !owner.lapsed {
-            transaction = transaction.check(&format!("{LEASES}{vm}"), leases.version(vm));
-        }
-    }
-    transaction
+    keeper.resolve(&mut share.holding(), &proposal, written, reading.term, board.clock.now());
+    result.map(|_| true)
 }
 
 fn fleet(board: &Board) -> Fleet {
--- a/src/share.rs
+++ b/src/share.rs
@@ -38,7 +38,7 @@
 const FLOOR_TOKENS: f64 = 2.0;
 
 /// Weight of an owner without demand, as a part of the mean demand.
-const BASE_WEIGHT: f64 = 0.1;
+const BASE_WEIGHT: f64 = 0.25;
 
 /// How far a share may be from its target before it is moved.
 const TOLERANCE: f64 = 0.1;
@@ -230,6 +230,11 @@
 }
 
 impl Shares {
+    /// The parts that `vm` owns.
+    pub fn parts_of(&self, vm: &str) -> u32 {
+        self.owners.get(vm).map_or(0, |owner| owner.parts)
+    }
+
     /// Parts that nobody owns.
     pub fn free(&self) -> u32 {
         let owned: u64 = self.owners.values().map(|owner| u64::from(owner.parts)).sum();
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -250,7 +250,11 @@
         let _ = state.crash.send(true);
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(state.service_time()).await;
+    let time = state.service_time();
+    // Even a sleep of nothing lasts until the next tick of the timer.
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
     let failed = call_on(&state, &parts.headers, &operation).await;
     run.done = true;
     state.seen.note(&operation, |trace| trace.runs += 1);
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,220 @@
+//! History check of claims: requests with the same idempotency key on several VMs, with lost and
+//! delayed answers and VMs that crash at any step. No key is ever run twice, and what was refused as
+//! not run did not run.
+
+use std::collections::VecDeque;
+
+use gypsumtack::claim::{self, Claim, State, Stored, StoredBody, Verdict};
+use gypsumtack::envelope::Token;
+use gypsumtack::key::Digest;
+use gypsumtack::platform::{Commit, Row, Transaction};
+use gypsumtack_standin::table::Table;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestError, TestRng, TestRunner};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const REQUESTS: usize = 4;
+
+/// A way in which the protocol is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Broken {
+    No,
+    /// A lost answer is taken for success, without reading back.
+    TrustsLostAnswers,
+    /// A claim is released although its request may have run.
+    ReleasesUnknown,
+    /// Any claim is taken for the own one.
+    IgnoresTokens,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    AnswerLost,
+    Delayed,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// The request takes its next step, with a fault of the table.
+    Go(usize, Fault),
+    /// Its backend server answers, or its answer is lost.
+    Dispatch(usize, bool),
+    /// Its VM crashes: the request is never heard of again.
+    Crash(usize),
+    Deliver,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Claiming,
+    ReadingBack,
+    Own,
+    Settling(bool),
+    Over,
+}
+
+struct Request {
+    token: Token,
+    stage: Stage,
+    runs: u32,
+}
+
+struct World {
+    table: Table,
+    delayed: VecDeque<Transaction>,
+    requests: Vec<Request>,
+    broken: Broken,
+    key: String,
+    digest: Digest,
+}
+
+impl World {
+    fn new(broken: Broken) -> Self {
+        let mut rng = SmallRng::seed_from_u64(7);
+        let mut request =
+            || Request { token: Token::random(&mut rng), stage: Stage::Claiming, runs: 0 };
+        Self {
+            table: Table::default(),
+            delayed: VecDeque::new(),
+            requests: (0..REQUESTS).map(|_| request()).collect(),
+            broken,
+            key: claim::row_key(Some("c"), b"k"),
+            digest: Digest::of(b"body"),
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Go(at, fault) => self.go(at, fault),
+            Step::Dispatch(at, answered) if self.requests[at].stage == Stage::Own => {
+                self.requests[at].runs += 1;
+                self.requests[at].stage = Stage::Settling(answered);
+            }
+            Step::Dispatch(..) => {}
+            Step::Crash(at) => self.requests[at].stage = Stage::Over,
+            Step::Deliver => {
+                if let Some(transaction) = self.delayed.pop_front() {
+                    self.table.commit(&transaction);
+                }
+            }
+        }
+    }
+
+    fn go(&mut self, at: usize, fault: Fault) {
+        let next = match self.requests[at].stage {
+            Stage::Claiming => self.insert(at, fault),
+            Stage::ReadingBack => self.read_back(at),
+            Stage::Settling(answered) => self.settle(at, answered, fault),
+            stage => stage,
+        };
+        self.requests[at].stage = next;
+    }
+
+    fn insert(&mut self, at: usize, fault: Fault) -> Stage {
+        let claim = Claim {
+            token: self.requests[at].token,
+            digest: self.digest,
+            request: at.to_string(),
+            vm: at.to_string(),
+            created: 0,
+            state: State::Pending,
+        };
+        let transaction = claim::insert(Transaction::default(), &self.key, &claim);
+        match self.write(transaction, fault) {
+            Some(Commit::Done(_)) => Stage::Own,
+            None if self.broken == Broken::TrustsLostAnswers => Stage::Own,
+            Some(Commit::Conflict(_)) | None => Stage::ReadingBack,
+        }
+    }
+
+    fn read_back(&self, at: usize) -> Stage {
+        let claim: Option<Claim> = self.table.row(&self.key).and_then(Row::decode);
+        let token = match (&claim, self.broken) {
+            (Some(claim), Broken::IgnoresTokens) => claim.token,
+            _ => self.requests[at].token,
+        };
+        match claim::judge(claim.as_ref(), token, self.digest) {
+            Verdict::Own => Stage::Own,
+            Verdict::Vacant => Stage::Claiming,
+            Verdict::Pending => Stage::ReadingBack,
+            Verdict::Replay(_) | Verdict::Unknown | Verdict::Mismatch => Stage::Over,
+        }
+    }
+
+    fn settle(&mut self, at: usize, answered: bool, fault: Fault) -> Stage {
+        let Some(row) = self.table.row(&self.key).cloned() else { return Stage::Over };
+        let token = self.requests[at].token;
+        let stored =
+            Stored { status: 200, headers: Vec::new(), body: StoredBody::Row(String::new()) };
+        let transaction = match (answered, self.broken) {
+            (false, Broken::ReleasesUnknown) => claim::release(&self.key, &row, token),
+            (false, _) => claim::settle(&self.key, &row, token, State::Unknown),
+            (true, _) => claim::settle(&self.key, &row, token, State::Done(stored)),
+        };
+        let Some(transaction) = transaction else { return Stage::Over };
+        match self.write(transaction, fault) {
+            Some(Commit::Done(_)) => Stage::Over,
+            _ => Stage::Settling(answered),
+        }
+    }
+
+    fn write(&mut self, transaction: Transaction, fault: Fault) -> Option<Commit> {
+        match fault {
+            Fault::None => Some(self.table.commit(&transaction)),
+            Fault::AnswerLost => {
+                self.table.commit(&transaction);
+                None
+            }
+            Fault::Delayed => {
+                self.delayed.push_back(transaction);
+                None
+            }
+        }
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let at = 0..REQUESTS;
+    let fault = prop_oneof![
+        3 => Just(Fault::None),
+        1 => Just(Fault::AnswerLost),
+        1 => Just(Fault::Delayed),
+    ];
+    let step = prop_oneof![
+        6 => (at.clone(), fault).prop_map(|(at, fault)| Step::Go(at, fault)),
+        3 => (at.clone(), any::<bool>()).prop_map(|(at, answered)| Step::Dispatch(at, answered)),
+        1 => at.prop_map(Step::Crash),
+        1 => Just(Step::Deliver),
+    ];
+    proptest::collection::vec(step, 5..60)
+}
+
+fn check(broken: Broken) -> Result<(), TestError<Vec<Step>>> {
+    let config = Config { cases: 3_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(config.rng_algorithm);
+    TestRunner::new_with_rng(config, rng).run(&steps(), |steps| {
+        let mut world = World::new(broken);
+        for step in &steps {
+            world.step(step);
+        }
+        let runs: u32 = world.requests.iter().map(|request| request.runs).sum();
+        prop_assert!(runs <= 1, "the key ran {runs} times");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_key_runs_at_most_once() {
+    if let Err(error) = check(Broken::No) {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn the_check_finds_each_broken_variant() {
+    for broken in [Broken::TrustsLostAnswers, Broken::ReleasesUnknown, Broken::IgnoresTokens] {
+        assert!(check(broken).is_err(), "{broken:?} passes");
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,257 @@
+//! Decisions beside naive versions, and properties over random cases.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gypsumtack::document::{CustomerId, Importance};
+use gypsumtack::guard::{Guard, Offer, Ticket, Work};
+use gypsumtack::member::{Record, State, View};
+use gypsumtack::reason::Outcome;
+use gypsumtack::retry::{Failure, Ledger};
+use gypsumtack::router::{self, Candidate};
+use gypsumtack::time::Time;
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// One waiting request of the naive queue.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    importance: Importance,
+    fresh: bool,
+    tag: u64,
+    ticket: Ticket,
+}
+
+/// The same order as the guard's, by sorting a plain list and counting by hand.
+#[derive(Debug, Default)]
+struct Naive {
+    waiting: Vec<Waiting>,
+    finish: Vec<(Importance, bool, CustomerId, u64)>,
+    passed: Vec<(Importance, bool, u64)>,
+}
+
+impl Naive {
+    fn push(&mut self, work: &Work, ticket: Ticket) {
+        let (importance, fresh) = (work.importance, !work.begun);
+        let class = |w: &&Waiting| (w.importance, w.fresh) == (importance, fresh);
+        if !self.waiting.iter().any(|w| class(&w)) {
+            self.finish.retain(|f| (f.0, f.1) != (importance, fresh));
+            self.passed.retain(|p| (p.0, p.1) != (importance, fresh));
+        }
+        let passed = self.passed.iter().find(|p| (p.0, p.1) == (importance, fresh));
+        let passed = passed.map_or(0, |p| p.2);
+        let known =
+            self.finish.iter().position(|f| (f.0, f.1, f.2) == (importance, fresh, work.customer));
+        let tag = known.map_or(0, |at| self.finish[at].3).max(passed);
+        if let Some(at) = known {
+            self.finish.remove(at);
+        }
+        self.finish.push((importance, fresh, work.customer, tag + 64 / u64::from(work.weight)));
+        self.waiting.push(Waiting { importance, fresh, tag, ticket });
+    }
+
+    fn pop(&mut self) -> Option<Ticket> {
+        self.waiting.sort_by_key(|w| (w.importance, w.fresh, w.tag, w.ticket));
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let first = self.waiting.remove(0);
+        self.passed.retain(|p| (p.0, p.1) != (first.importance, first.fresh));
+        self.passed.push((first.importance, first.fresh, first.tag));
+        Some(first.ticket)
+    }
+}
+
+#[test]
+fn the_guard_starts_work_in_the_order_of_a_sorted_list() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        // No bound on time and space: only the order is compared here.
+        let mut guard = Guard::new(Duration::from_secs(1_000_000));
+        guard.set_slots(2);
+        let (mut naive, mut running) = (Naive::default(), 0);
+        for _ in 0..300 {
+            if rng.random_bool(0.55) {
+                let customer = rng.random_range(0..5_u32);
+                let work = Work {
+                    customer: CustomerId::new(customer),
+                    weight: 1 << (customer % 3),
+                    importance: Importance::ALL[rng.random_range(0..4)],
+                    begun: rng.random_bool(0.3),
+                    deadline: Time::from_millis(1 << 40),
+                };
+                match guard.offer(work, Time::ZERO).0 {
+                    Offer::Run(_) => running += 1,
+                    Offer::Wait(ticket) => naive.push(&work, ticket),
+                    Offer::Refuse(reason) => panic!("refused: {reason}"),
+                }
+            } else if running > 0 {
+                let started = guard.finish(None).start;
+                let wanted: Vec<Ticket> = naive.pop().into_iter().collect();
+                assert_eq!(started, wanted, "seed {seed}");
+                running -= 1 - wanted.len();
+            }
+        }
+    }
+}
+
+#[test]
+fn the_guard_sheds_the_least_important_and_whoever_holds_most() {
+    let mut guard = Guard::new(Duration::from_millis(100));
+    guard.set_slots(1);
+    let work = |customer, importance| Work {
+        customer: CustomerId::new(customer),
+        weight: 1,
+        importance,
+        begun: false,
+        deadline: Time::from_millis(10_000),
+    };
+    guard.offer(work(0, Importance::Low), Time::ZERO);
+    // The service time is taken for 10 ms, so 10 requests fit the 100 ms.
+    for _ in 0..8 {
+        guard.offer(work(1, Importance::Low), Time::ZERO);
+    }
+    guard.offer(work(2, Importance::Low), Time::ZERO);
+    guard.offer(work(2, Importance::Low), Time::ZERO);
+    let (offer, released) = guard.offer(work(3, Importance::Critical), Time::ZERO);
+    assert!(matches!(offer, Offer::Wait(_)));
+    let shed: Vec<_> = released.shed.iter().map(|s| (s.customer.index(), s.importance)).collect();
+    assert_eq!(shed, [(1, Importance::Low)]);
+    let late = Work { deadline: Time::from_millis(5), ..work(3, Importance::Low) };
+    assert!(matches!(guard.offer(late, Time::ZERO).0, Offer::Refuse(_)), "too late to be of use");
+}
+
+/// Runs a random call tree in which any attempt may fail or lose its answer. Returns attempts and
+/// calls.
+fn run_tree(rng: &mut SmallRng, ledger: &Ledger, depth: u32) -> (u32, u32, bool) {
+    let (mut attempts, mut calls) = (0, 1);
+    loop {
+        attempts += 1;
+        let lent = ledger.lend();
+        let below = Ledger::new(lent);
+        let mut whole = rng.random_bool(0.6);
+        for _ in 0..if depth == 0 { 0 } else { rng.random_range(0..3) } {
+            let (more, below_calls, ran) = run_tree(rng, &below, depth - 1);
+            attempts += more;
+            calls += below_calls;
+            whole &= ran;
+        }
+        let lost = rng.random_bool(0.2);
+        // What a lost answer did not use is never known, so it counts as spent.
+        ledger.give_back(if lost { 0 } else { below.left() });
+        let outcome = if lost { Outcome::Unknown } else { Outcome::NotRun };
+        let failure = Failure { outcome, elsewhere: true, left: Duration::from_secs(1) };
+        if (whole && !lost) || !failure.may_retry(true) || !ledger.spend() {
+            return (attempts, calls, whole && !lost);
+        }
+    }
+}
+
+#[test]
+fn attempts_never_exceed_calls_and_allowance() {
+    for seed in 0..5_000 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let allowance = rng.random_range(0..9);
+        let ledger = Ledger::new(allowance);
+        let (attempts, calls, _) = run_tree(&mut rng, &ledger, 8);
+        assert!(attempts <= calls + allowance, "seed {seed}: {attempts} > {calls} + {allowance}");
+    }
+}
+
+#[test]
+fn a_request_that_may_have_run_is_repeated_only_where_that_does_no_harm() {
+    let left = Duration::from_secs(1);
+    for outcome in [Outcome::Ran, Outcome::Unknown] {
+        let failure = Failure { outcome, elsewhere: true, left };
+        assert!(failure.may_retry(true));
+        assert!(!failure.may_retry(false));
+    }
+    assert!(Failure { outcome: Outcome::NotRun, elsewhere: true, left }.may_retry(false));
+    let late = Failure { outcome: Outcome::NotRun, elsewhere: true, left: Duration::ZERO };
+    assert!(!late.may_retry(true));
+}
+
+#[test]
+fn the_router_prefers_its_own_domain_until_that_is_fuller() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let candidate = |index, local, load| Candidate { index, local, load, slots: 100 };
+    let calm = [candidate(0, true, 40), candidate(1, false, 30), candidate(2, false, 30)];
+    let full = [candidate(0, true, 60), candidate(1, false, 30), candidate(2, false, 30)];
+    for _ in 0..100 {
+        assert_eq!(router::choose(&calm, &mut rng), Some(0));
+        assert_ne!(router::choose(&full, &mut rng), Some(0));
+    }
+    assert_eq!(router::choose(&[], &mut rng), None);
+}
+
+fn record(counter: u64, incarnation: u64, state: State, suspect: bool) -> Record {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Record {
+        vm: "vm".into(),
+        incarnation,
+        counter,
+        state,
+        suspect,
+        domain: "a".into(),
+        service: "s".into(),
+        slots: 1,
+        peers: address,
+        control: address,
+        operators: address,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn records_merge_to_the_same_in_any_order(
+        specs in proptest::collection::vec((0..4_u64, 0..2_u64, 0..3_u8, any::<bool>()), 1..8),
+        seed in any::<u64>(),
+    ) {
+        let states = [State::Waiting, State::Ready, State::Leaving];
+        let mut records: Vec<Record> = specs
+            .iter()
+            .map(|&(counter, incarnation, state, suspect)| {
+                // One VM never says two things under one number, but others may suspect it.
+                let leaving = states[usize::from(state)] == State::Leaving;
+                let state = if leaving { State::Leaving } else { states[counter as usize % 2] };
+                record(counter, incarnation, state, suspect)
+            })
+            .collect();
+        let merged = |records: &[Record]| {
+            let mut view = View::default();
+            for record in records {
+                view.merge(record.clone(), Time::ZERO);
+            }
+            view.get("vm").map(|member| member.record.clone())
+        };
+        let first = merged(&records);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        use rand::seq::SliceRandom;
+        records.shuffle(&mut rng);
+        prop_assert_eq!(first, merged(&records));
+    }
+}
+
+#[test]
+fn leaving_outranks_everything_of_the_same_incarnation() {
+    let mut view = View::default();
+    view.merge(record(1, 5, State::Leaving, false), Time::ZERO);
+    assert!(!view.merge(record(9, 5, State::Ready, false), Time::ZERO));
+    assert!(!view.get("vm").unwrap().takes_work(Time::ZERO));
+    assert!(view.merge(record(0, 6, State::Ready, false), Time::ZERO));
+    assert!(view.get("vm").unwrap().takes_work(Time::ZERO));
+}
+
+#[test]
+fn a_suspect_gets_no_work_until_it_refutes() {
+    let mut view = View::default();
+    view.merge(record(1, 5, State::Ready, false), Time::ZERO);
+    assert!(view.suspect("vm", Time::ZERO));
+    assert!(view.get("vm").unwrap().takes_work(Time::from_millis(100)));
+    assert!(!view.get("vm").unwrap().takes_work(Time::from_millis(3_000)));
+    view.merge(record(2, 5, State::Ready, false), Time::from_millis(3_000));
+    assert!(view.get("vm").unwrap().takes_work(Time::from_millis(3_000)));
+}
