Quarantine requests that crash backend servers

Cause: a request that crashes whatever runs it was retried on the next instance, and again by its caller.

Change: a request whose backend server died under it is a suspect by its fingerprint; suspects run alone on a VM, a second death quarantines, heartbeats spread it, a whole run clears. The stand-in runs on a runtime of its own, so that a crash ends its open connections too.

Measured (four instances, one such request sent six times): before, every attempt could kill another instance, up to the allowance at each sending; now two die and the other two serve everything else.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -61,6 +61,7 @@
         domain: "anfa".to_owned(),
         service: "lists".to_owned(),
         passed: 1.0,
+        suspect: false,
         claimed: false,
     }
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -21,6 +21,9 @@
 /// What a hop keeps of the deadline, so that its refusal still reaches the caller in time.
 const HOP_RESERVE: Duration = Duration::from_millis(2);
 
+/// The longest that a backend server may take to accept a connection after it broke one.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+
 /// Stands for all callers of routes that are open to all, between customers in a queue.
 const OPEN_CUSTOMER: CustomerId = CustomerId::new(u32::MAX);
 
@@ -35,6 +38,10 @@
     if let Err(reason) = board.check_waiting(&envelope.route) {
         return refuse(board, &envelope, reason);
     }
+    let place = envelope.suspect.then(|| board.suspect_place());
+    if matches!(place, Some(None)) {
+        return refuse(board, &envelope, Reason::SuspectRuns);
+    }
     let work = work_of(board, &envelope, deadline);
     let mut permit = match board.gate.enter(work, envelope.passed).await {
         Ok(permit) => permit,
@@ -138,6 +145,9 @@
             };
             Answer { status, headers, body, report }
         }
+        Ok(Err(Lost::Broken(_))) if is_dead(board, backend).await => {
+            Answer::refusal(request, Outcome::Unknown, Reason::Crashed)
+        }
         Ok(Err(lost)) => lost.into_answer(live),
         Err(_) => {
             let reason = Reason::DeadlinePassed { allowed: live.envelope.allowed };
@@ -146,6 +156,16 @@
     }
 }
 
+/// Whether the backend server is gone: its connection broke, and it takes no other.
+async fn is_dead(board: &Board, backend: &BackendServer) -> bool {
+    let connect = tokio::net::TcpStream::connect(backend.address);
+    let alive = matches!(tokio::time::timeout(PROBE_TIME, connect).await, Ok(Ok(_)));
+    if !alive && board.backend.load().as_deref() == Some(backend) {
+        board.lose_backend();
+    }
+    !alive
+}
+
 fn target(backend: &BackendServer, uri: &Uri) -> Option<Uri> {
     let path = uri.path_and_query()?.clone();
     let authority = backend.address.to_string();
--- a/src/board.rs
+++ b/src/board.rs
@@ -32,6 +32,7 @@
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
 use crate::platform;
+use crate::quarantine::{Fingerprint, Quarantine, Standing};
 use crate::reason::Reason;
 use crate::settings::Settings;
 use crate::share::Holding;
@@ -229,6 +230,10 @@
     pub metrics: Metrics,
     /// Grows with each start of the daemon.
     pub incarnation: u64,
+    /// Requests that crashed backend servers.
+    pub quarantine: Mutex<Quarantine>,
+    suspicious: AtomicBool,
+    suspect_runs: AtomicBool,
     in_flight: AtomicUsize,
     counter: AtomicU64,
     leaving: AtomicBool,
@@ -269,6 +274,9 @@
             journal: Journal::default(),
             metrics: Metrics::new(),
             incarnation,
+            quarantine: Mutex::default(),
+            suspicious: AtomicBool::new(false),
+            suspect_runs: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             counter: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -472,6 +480,47 @@
     }
 }
 
+impl Board {
+    /// What is known of a request. The fingerprint is made only while anything is known of any.
+    pub fn standing(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Standing {
+        if !self.suspicious.load(Ordering::Acquire) {
+            return Standing::Clear;
+        }
+        lock(&self.quarantine).standing(fingerprint(), self.clock.now())
+    }
+
+    /// Changes what is known of requests that crashed backend servers.
+    pub fn suspect(&self, change: impl FnOnce(&mut Quarantine, Time)) {
+        let mut quarantine = lock(&self.quarantine);
+        change(&mut quarantine, self.clock.now());
+        self.suspicious.store(!quarantine.is_empty(), Ordering::Release);
+    }
+
+    /// Takes the one place for suspects on this VM; `None` while another suspect runs.
+    pub fn suspect_place(self: &Arc<Self>) -> Option<SuspectPlace> {
+        let taken = self.suspect_runs.swap(true, Ordering::AcqRel);
+        (!taken).then(|| SuspectPlace { board: Arc::clone(self) })
+    }
+
+    /// Notes that the local backend server is gone, until it announces itself again.
+    pub fn lose_backend(&self) {
+        self.backend.store(None);
+        self.publish_self();
+    }
+}
+
+/// The one place for suspects on a VM.
+#[derive(Debug)]
+pub struct SuspectPlace {
+    board: Arc<Board>,
+}
+
+impl Drop for SuspectPlace {
+    fn drop(&mut self) {
+        self.board.suspect_runs.store(false, Ordering::Release);
+    }
+}
+
 impl Tables {
     /// Whether the local backend server serves a route that does not reach `service`.
     fn serves_without(&self, service: &str) -> bool {
--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,7 @@
 use crate::key::Sealed;
 use crate::member::Record;
 use crate::publish::Body;
+use crate::quarantine::Rumor;
 use crate::share::LOAN_USE;
 use crate::sync::lock;
 
@@ -52,6 +53,8 @@
     pub rumors: Vec<Record>,
     /// The document that the sender has in force.
     pub version: u64,
+    /// Requests that crashed backend servers.
+    pub suspects: Vec<Rumor>,
 }
 
 /// Asks for one token.
@@ -169,6 +172,7 @@
         record: board.record(),
         rumors: board.update_view(|view, _| view.rumors()),
         version: board.policy.load().version,
+        suspects: lock(&board.quarantine).rumors(board.clock.now()),
     }
 }
 
@@ -184,6 +188,9 @@
             view.merge(record, now);
         }
     });
+    if !beat.suspects.is_empty() {
+        board.suspect(|quarantine, now| quarantine.merge(&beat.suspects, now));
+    }
     if accused {
         board.publish_self();
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -196,6 +196,7 @@
         domain: board.settings.failure_domain.clone(),
         service: policy.service(route.service).name.clone(),
         passed: visit.passed,
+        suspect: false,
         claimed: !route.idempotent,
     };
     let call = Call {
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -77,6 +77,8 @@
     pub service: String,
     /// The probability with which the entry let it pass; see [`crate::level`].
     pub passed: f32,
+    /// Whether a backend server died under it before; see [`crate::quarantine`].
+    pub suspect: bool,
     /// Whether a claim makes sure that the request runs at most once.
     pub claimed: bool,
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -13,6 +13,7 @@
 use crate::envelope::{Envelope, Report};
 use crate::instance::Instance;
 use crate::message::{self, Answer, Message};
+use crate::quarantine::{Fingerprint, Standing};
 use crate::reason::{Outcome, Reason};
 use crate::retry::{Failure, Ledger};
 use crate::router;
@@ -41,6 +42,16 @@
     let policy = board.policy.load_full();
     let service = policy.service(call.service);
     let state = board.tables.load().services.get(&service.name).cloned();
+    let fingerprint =
+        || Fingerprint::of(call.envelope.customer.as_deref(), &service.name, &call.message);
+    let mut suspect = match board.standing(fingerprint) {
+        Standing::Clear => false,
+        Standing::Suspect => true,
+        Standing::Quarantined(left) => {
+            let reason = Reason::Quarantined { seconds: left.as_secs() };
+            return Answer::not_run(call.envelope.request, reason);
+        }
+    };
     let mut tried = BTreeSet::new();
     let mut worst: Option<Answer> = None;
     loop {
@@ -50,8 +61,14 @@
             return worst.unwrap_or_else(|| Answer::not_run(call.envelope.request, reason));
         };
         tried.insert(instance.vm.clone());
-        let answer = attempt(board, call, &instance, ledger).await;
+        let answer = attempt(board, call, &instance, ledger, suspect).await;
         let now = board.clock.now();
+        if answer.report.reason == Some(Reason::Crashed) {
+            suspect = true;
+            board.suspect(|quarantine, now| quarantine.died(fingerprint(), now));
+        } else if suspect && answer.report.outcome == Outcome::Ran {
+            board.suspect(|quarantine, _| quarantine.completed(fingerprint()));
+        }
         if answer.report.outcome == Outcome::Ran && answer.status != StatusCode::SERVICE_UNAVAILABLE
         {
             if let Some(state) = &state {
@@ -59,7 +76,9 @@
             }
             return answer;
         }
-        let again = failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
+        let quarantined = matches!(board.standing(fingerprint), Standing::Quarantined(_));
+        let again = !quarantined
+            && failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
             && has_other(board, &service.name, service.ramp, &tried)
             && take_retry(state.as_deref(), ledger, now);
         let answer = keep_doubt(worst.take(), answer);
@@ -123,11 +142,16 @@
     call: &Call,
     instance: &Arc<Instance>,
     ledger: &Ledger,
+    suspect: bool,
 ) -> Answer {
     let left = call.deadline.since(board.clock.now());
     let lent = ledger.lend();
-    let envelope =
-        Envelope { left: left.as_micros() as u64, allowance: lent, ..call.envelope.clone() };
+    let envelope = Envelope {
+        left: left.as_micros() as u64,
+        allowance: lent,
+        suspect,
+        ..call.envelope.clone()
+    };
     let sent = instance.send();
     let answer = if instance.vm == board.settings.vm {
         backend::run(board, envelope, call.message.clone()).await
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod peer;
 pub mod platform;
 pub mod publish;
+pub mod quarantine;
 pub mod reason;
 pub mod retry;
 pub mod router;
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -135,6 +135,10 @@
         /// Seconds until it may run again.
         seconds: u64,
     },
+    /// The backend server died while it ran the request.
+    Crashed,
+    /// Another request that may have crashed a backend server runs on this VM.
+    SuspectRuns,
     /// As many connections are open as the settings allow.
     TooManyConnections {
         /// The limit.
@@ -170,6 +174,8 @@
             Self::Isolated { .. } => "isolated",
             Self::BadAnswer { .. } => "bad-answer",
             Self::Quarantined { .. } => "quarantined",
+            Self::Crashed => "crashed",
+            Self::SuspectRuns => "suspect-runs",
             Self::TooManyConnections { .. } => "too-many-connections",
         }
     }
@@ -185,7 +191,7 @@
             Self::IdempotencyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
             Self::ClaimUnknown | Self::ClaimPending => StatusCode::CONFLICT,
             Self::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
-            Self::BadAnswer { .. } => StatusCode::BAD_GATEWAY,
+            Self::BadAnswer { .. } | Self::Crashed => StatusCode::BAD_GATEWAY,
             Self::NoDocument
             | Self::QueueDelay { .. }
             | Self::Displaced { .. }
@@ -197,6 +203,7 @@
             | Self::ClaimUnavailable
             | Self::Isolated { .. }
             | Self::Quarantined { .. }
+            | Self::SuspectRuns
             | Self::TooManyConnections { .. } => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -218,6 +225,8 @@
             | Self::ClaimUnavailable
             | Self::ClaimPending
             | Self::DeadlinePassed { .. }
+            | Self::Crashed
+            | Self::SuspectRuns
             | Self::TooManyConnections { .. } => Some(Duration::from_secs(1)),
             _ => None,
         }
@@ -233,6 +242,8 @@
                 | Self::Leaving
                 | Self::BadAnswer { .. }
                 | Self::ServiceBound { .. }
+                | Self::Crashed
+                | Self::SuspectRuns
                 | Self::TooManyConnections { .. }
         )
     }
@@ -330,6 +341,16 @@
                 "this request crashed backend servers and is refused for {seconds} s more; mend \
                  it before sending it again"
             ),
+            Self::Crashed => write!(
+                f,
+                "the backend server died while it ran the request; look at its own log before \
+                 sending the request again"
+            ),
+            Self::SuspectRuns => write!(
+                f,
+                "another request that may have crashed a backend server runs on this VM; come \
+                 back later"
+            ),
             Self::TooManyConnections { limit } => write!(
                 f,
                 "{limit} connections are open, as many as limits in the settings allow; reuse \
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -17,7 +17,6 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 use crate::caller::{Caller, Question};
 
@@ -100,8 +99,6 @@
     address: SocketAddr,
     state: Arc<State>,
     stop: watch::Sender<bool>,
-    announcer: JoinHandle<()>,
-    server: JoinHandle<()>,
 }
 
 #[derive(Debug)]
@@ -172,9 +169,21 @@
             header_bytes: 64 << 10,
             header_time: Duration::from_secs(30),
         };
-        let server = tokio::spawn(server::serve(listener, bounds, stopped, handler));
-        let announcer = tokio::spawn(announce(Arc::clone(&state), address, operators));
-        Ok(Self { address, state, stop, announcer, server })
+        // A runtime of its own, so that a crash ends everything of it at once, open connections too.
+        let runtime =
+            tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+        let listener = {
+            let _inside = runtime.enter();
+            TcpListener::from_std(listener.into_std()?)?
+        };
+        runtime.spawn(server::serve(listener, bounds, stopped, handler));
+        runtime.spawn(announce(Arc::clone(&state), address, operators));
+        let mut ended = stop.subscribe();
+        tokio::spawn(async move {
+            let _ = ended.wait_for(|stop| *stop).await;
+            runtime.shutdown_background();
+        });
+        Ok(Self { address, state, stop })
     }
 
     /// Where it listens.
@@ -205,8 +214,6 @@
     /// Ends it.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
-        self.announcer.abort();
-        self.server.abort();
     }
 }
 
--- /dev/null
+++ b/tests/crashes.rs
@@ -0,0 +1,76 @@
+//! Requests that crash backend servers, and come back.
+
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Fleet, document, plan, until};
+use gypsumtack::message::Message;
+use gypsumtack::quarantine::{Fingerprint, Quarantine, Standing};
+use gypsumtack::time::Time;
+use gypsumtack_standin::backend::CRASH;
+use gypsumtack_standin::caller::Question;
+use http::{HeaderMap, Method};
+
+fn fingerprint(body: &'static str) -> Fingerprint {
+    let message = Message {
+        method: Method::POST,
+        uri: "/deep".parse().unwrap(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(body.as_bytes()),
+    };
+    Fingerprint::of(Some("acme"), "deep", &message)
+}
+
+#[test]
+fn a_second_death_means_quarantine_and_a_whole_run_clears() {
+    let mut quarantine = Quarantine::default();
+    let (guilty, innocent) = (fingerprint("guilty"), fingerprint("innocent"));
+    for suspect in [guilty, innocent] {
+        quarantine.died(suspect, Time::ZERO);
+        assert_eq!(quarantine.standing(suspect, Time::ZERO), Standing::Suspect);
+    }
+    quarantine.completed(innocent);
+    assert_eq!(quarantine.standing(innocent, Time::ZERO), Standing::Clear);
+    quarantine.died(guilty, Time::ZERO);
+    assert!(matches!(quarantine.standing(guilty, Time::ZERO), Standing::Quarantined(_)));
+    let mut peer = Quarantine::default();
+    peer.merge(&quarantine.rumors(Time::ZERO), Time::ZERO);
+    assert!(matches!(peer.standing(guilty, Time::ZERO), Standing::Quarantined(_)));
+    let later = Time::ZERO + Duration::from_secs(601);
+    assert_eq!(peer.standing(guilty, later), Standing::Clear);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_everything_kills_two_and_no_more() {
+    let mut fleet = Fleet::start(&document()).await;
+    for domain in ["a", "b", "a", "b"] {
+        fleet.add(domain, plan("deep", 8, 20, &[])).await;
+    }
+    fleet.settle(&["deep"]).await;
+    let board = fleet.nodes[0].daemon.board().clone();
+    until("all are known", || board.instances.load().of("deep").len() == 4).await;
+    let crash = || Question::get("/deep/bad").key("acme-key").header(CRASH, "1");
+    let first = fleet.ask(0, crash()).await;
+    assert_eq!((first.outcome(), first.reason()), ("unknown", "crashed"), "{first:?}");
+    let alive = || fleet.nodes.iter().filter(|node| node.daemon.board().is_ready()).count();
+    until("the dead are noticed", || alive() == 2).await;
+    for _ in 0..5 {
+        let again = fleet.ask(0, crash()).await;
+        assert_eq!((again.outcome(), again.reason()), ("not-run", "quarantined"));
+    }
+    let other = fleet.nodes[1].daemon.board();
+    let told = || {
+        let quarantine = gypsumtack::sync::lock(&other.quarantine);
+        !quarantine.is_empty()
+    };
+    until("another VM is told", told).await;
+    let told = fleet.ask(1, crash()).await;
+    assert_eq!((told.outcome(), told.reason()), ("not-run", "quarantined"));
+    for node in 0..4 {
+        let answer = fleet.ask(node, Question::get("/deep/good").key("acme-key")).await;
+        assert_eq!(answer.outcome(), "ran", "{answer:?}");
+    }
+    assert_eq!(alive(), 2);
+}
