--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -9,7 +9,7 @@
 
 use rand::Rng;
 
-use crate::board::{Board, CustomerShare};
+use crate::board::Board;
 use crate::control;
 use crate::document::{CustomerId, Document, Policy};
 use crate::error::PlatformError;
@@ -19,6 +19,7 @@
 use crate::platform::{Client, Commit, Row, Transaction};
 use crate::publish::{self, Body, Head};
 use crate::share::{self, Ask, Fleet, Shares};
+use crate::tables::CustomerShare;
 use crate::time::Time;
 
 /// Mean time between two looks at the document's head.
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -4,7 +4,7 @@
 
 use hyper::body::Incoming;
 
-use crate::board::{Board, ServiceState};
+use crate::board::Board;
 use crate::claims;
 use crate::document::{Policy, Route};
 use crate::envelope::RequestId;
@@ -13,6 +13,7 @@
 use crate::live::Live;
 use crate::message::{self, Answer, Message, Response};
 use crate::reason::Reason;
+use crate::tables::ServiceState;
 
 /// Answers one call of the local backend server.
 pub async fn handle(board: Arc<Board>, request: http::Request<Incoming>) -> Response {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use rand::Rng;
 
-use crate::board::{Board, CustomerShare, InFlight};
+use crate::board::{Board, InFlight};
 use crate::claims;
 use crate::control;
 use crate::document::{CustomerId, Policy, Route};
@@ -20,6 +20,7 @@
 use crate::metrics::RequestLabels;
 use crate::reason::{Outcome, Reason};
 use crate::retry::Ledger;
+use crate::tables::CustomerShare;
 use crate::time::Time;
 
 /// How many owners are asked for a token before a request is refused.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use crate::backend;
-use crate::board::{Board, ServiceState};
+use crate::board::Board;
 use crate::document::ServiceId;
 use crate::envelope::{Envelope, Report};
 use crate::instance::Instance;
@@ -17,6 +17,7 @@
 use crate::reason::{Outcome, Reason};
 use crate::retry::{Failure, Ledger};
 use crate::router;
+use crate::tables::ServiceState;
 use crate::time::Time;
 
 /// A call that is to be sent to an instance of its service.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod settings;
 pub mod share;
 pub mod sync;
+pub mod tables;
 pub mod time;
 
 pub use crate::board::Board;
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -140,7 +140,7 @@
 fn share_status(
     policy: &crate::document::Policy,
     id: crate::document::CustomerId,
-    share: &crate::board::CustomerShare,
+    share: &crate::tables::CustomerShare,
 ) -> ShareStatus {
     let parts = share.holding().parts();
     ShareStatus {
