Ask owners of a share in turn, and let idle owners make room

Cause: a VM that was short always asked the same three owners, waited 20 ms after they refused, and owners without demand kept the places of VMs with it.

Change: the owner that had a token is asked first and the others in turn, up to eight; the pause is 5 ms; an owner without demand leaves while all places are taken; owners keep four tokens of burst after a lapse; every owner counts half the mean demand; small changes of demand are not written.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,6 @@
 //! Requests from callers: key, route, rate, and the way to the service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,9 +24,6 @@
 use crate::tables::CustomerShare;
 use crate::time::Time;
 
-/// How many owners are asked for a token before a request is refused.
-const MOST_LENDERS: usize = 3;
-
 /// How much of an unmatched path is repeated in its refusal, in characters.
 const PATH_SHOWN: usize = 100;
 
@@ -165,16 +163,18 @@
         return false;
     }
     let lenders = share.lenders.load_full();
-    let addresses: Vec<_> = board.read_view(|view| {
+    let addresses: Vec<SocketAddr> = board.read_view(|view| {
         let members = lenders.iter().filter_map(|vm| view.get(vm));
         let reachable = members.filter(|member| !member.record.suspect);
-        reachable.map(|member| member.record.control).take(MOST_LENDERS).collect()
+        reachable.map(|member| member.record.control).collect()
     });
-    for address in addresses {
-        if control::borrow(board, address, customer).await {
+    for place in share.turn.places(addresses.len()) {
+        if control::borrow(board, addresses[place], customer).await {
+            share.turn.found(place);
             return true;
         }
     }
+    share.turn.missed();
     share.pause_borrowing(board.clock.now());
     false
 }
--- a/src/share.rs
+++ b/src/share.rs
@@ -6,6 +6,7 @@
 //! "Rates and bursts", gives the argument and the ways that were weighed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -26,7 +27,10 @@
 pub const LOAN_USE: Duration = Duration::from_millis(50);
 
 /// How long the lender counts a loan against its own burst.
-pub const LOAN_HOLD: Duration = Duration::from_millis(200);
+pub const LOAN_HOLD: Duration = Duration::from_millis(100);
+
+/// How many owners one request asks for a token at most.
+pub const MOST_LENDERS: usize = 8;
 
 /// Parts of a whole share, as the table counts them.
 pub const WHOLE: u32 = 1_000_000;
@@ -35,14 +39,20 @@
 const MOST_OWNERS: usize = 32;
 
 /// Tokens of burst that an owner should keep even after a lapse.
-const FLOOR_TOKENS: f64 = 2.0;
+const FLOOR_TOKENS: f64 = 4.0;
 
 /// Weight of an owner without demand, as a part of the mean demand.
-const BASE_WEIGHT: f64 = 0.25;
+const BASE_WEIGHT: f64 = 0.5;
+
+/// Requests a second below which an owner counts as having no demand.
+const LEAST_DEMAND: f64 = 0.05;
 
 /// How far a share may be from its target before it is moved.
 const TOLERANCE: f64 = 0.1;
 
+/// A change of demand below this part of the customer's whole demand is not written.
+const NOISE_PARTS: u32 = 50;
+
 /// How fast the demand estimate forgets, for each [`Holding::demand`] call.
 const DEMAND_GAIN: f64 = 0.5;
 
@@ -183,6 +193,32 @@
     }
 }
 
+/// Whom to ask for the next token: the owner that had one last, and then the others in turn.
+///
+/// Always asking the same few would drain them beside owners that nobody asks.
+#[derive(Debug, Default)]
+pub struct Turn {
+    next: AtomicUsize,
+}
+
+impl Turn {
+    /// The places of `count` owners that one request asks, in order.
+    pub fn places(&self, count: usize) -> impl Iterator<Item = usize> + use<> {
+        let next = self.next.load(Ordering::Relaxed);
+        (0..count.min(MOST_LENDERS)).map(move |at| (next + at) % count)
+    }
+
+    /// Notes that the owner at `place` had a token.
+    pub fn found(&self, place: usize) {
+        self.next.store(place, Ordering::Relaxed);
+    }
+
+    /// Notes that none of those who were asked had one.
+    pub fn missed(&self) {
+        self.next.fetch_add(MOST_LENDERS, Ordering::Relaxed);
+    }
+}
+
 /// One customer's row in the table: who owns which share.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Shares {
@@ -249,9 +285,13 @@
     pub fn plan(&self, ask: &Ask<'_>) -> Self {
         let mut next = self.clone();
         next.take_lapsed(ask);
+        if next.is_superfluous(ask) {
+            return next.without(ask.vm);
+        }
         next.join(ask);
         let Some(target) = next.target(ask) else { return next };
         let free = next.free();
+        let total: u32 = next.owners.values().map(|owner| owner.demand).sum();
         let Some(own) = next.owners.get_mut(ask.vm) else { return next };
         own.lapsed = false;
         let parts = f64::from(own.parts);
@@ -261,7 +301,8 @@
             own.parts += free.min(target as u32 - own.parts);
         }
         let demand = ask.demand.round() as u32;
-        if demand.abs_diff(own.demand) * 4 > own.demand {
+        let noise = (own.demand / 4).max(total / NOISE_PARTS);
+        if demand.abs_diff(own.demand) > noise {
             own.demand = demand;
         }
         next
@@ -297,9 +338,8 @@
         }
         let live = || self.owners.values().filter(|owner| !owner.lapsed);
         let alone = !live().any(|owner| owner.domain == ask.domain);
-        let fits = (ask.burst * FLOOR / FLOOR_TOKENS) as usize;
-        let most = fits.clamp(ask.fleet.domains.max(1), MOST_OWNERS);
-        if !alone && live().count() >= most {
+        let unwanted = ask.demand < LEAST_DEMAND && live().count() + 1 >= most_owners(ask);
+        if !alone && (unwanted || live().count() >= most_owners(ask)) {
             return;
         }
         let owner = Owner {
@@ -311,6 +351,17 @@
         self.owners.insert(ask.vm.to_owned(), owner);
     }
 
+    /// Whether this VM owns a share without demand while all places are taken, and its failure domain
+    /// keeps another owner. It makes room for a VM that has demand.
+    fn is_superfluous(&self, ask: &Ask<'_>) -> bool {
+        let live = || self.owners.iter().filter(|(_, owner)| !owner.lapsed);
+        let near = |(vm, owner): &(&String, &Owner)| *vm != ask.vm && owner.domain == ask.domain;
+        self.owners.contains_key(ask.vm)
+            && ask.demand < LEAST_DEMAND
+            && live().count() >= most_owners(ask)
+            && live().any(|other| near(&other))
+    }
+
     /// This VM's due: its part of the demand, of what is not tied up in lapsed shares.
     fn target(&self, ask: &Ask<'_>) -> Option<f64> {
         self.owners.get(ask.vm)?;
@@ -327,3 +378,10 @@
         Some(f64::from(WHOLE - tied.min(WHOLE)) * (ask.demand + base) / weights)
     }
 }
+
+/// How many owners a customer's rate is divided between: each keeps some tokens of burst, and each
+/// failure domain has one.
+fn most_owners(ask: &Ask<'_>) -> usize {
+    let fits = (ask.burst * FLOOR / FLOOR_TOKENS) as usize;
+    fits.clamp(ask.fleet.domains.max(1), MOST_OWNERS)
+}
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -13,7 +13,7 @@
 use crate::document::{CustomerId, Policy};
 use crate::envelope::Reach;
 use crate::level::Cuts;
-use crate::share::Holding;
+use crate::share::{Holding, Turn};
 use crate::sync::lock;
 use crate::time::Time;
 
@@ -22,7 +22,7 @@
 
 /// How long other owners are left alone after none had a token. It bounds the control traffic that a
 /// customer far over its rate can cause.
-const BORROW_PAUSE: Duration = Duration::from_millis(20);
+const BORROW_PAUSE: Duration = Duration::from_millis(5);
 
 /// One customer's share on this VM and where to borrow.
 #[derive(Debug)]
@@ -30,6 +30,8 @@
     holding: Mutex<Holding>,
     /// Other owners, those with the largest shares first.
     pub lenders: ArcSwap<Vec<String>>,
+    /// Which of them is asked next.
+    pub turn: Turn,
     borrow_after: AtomicU64,
 }
 
@@ -39,6 +41,7 @@
         Self {
             holding: Mutex::new(Holding::new(rate, burst, now)),
             lenders: ArcSwap::default(),
+            turn: Turn::default(),
             borrow_after: AtomicU64::new(0),
         }
     }
