--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -32,7 +32,7 @@
 const CHANGE_PERIOD: Duration = Duration::from_millis(500);
 
 /// Mean time between two scans of all members.
-const SCAN_PERIOD: Duration = Duration::from_secs(60);
+const SCAN_PERIOD: Duration = Duration::from_secs(120);
 
 /// Mean time between two scans while few members are known or registration is pending.
 const FIRST_SCAN_PERIOD: Duration = Duration::from_secs(1);
@@ -43,6 +43,9 @@
 /// Mean time between two renewals of the lease.
 const SHARE_PERIOD: Duration = Duration::from_secs(4);
 
+/// Time between two readings of all leases.
+const LEASES_PERIOD: Duration = Duration::from_secs(20);
+
 /// Time between two rounds while shares are moving.
 const MOVING_PERIOD: Duration = Duration::from_millis(500);
 
@@ -241,9 +244,28 @@
 #[derive(Debug, Default)]
 struct Known {
     leases: Leases,
+    leases_read: Option<Time>,
+    rows: SharedRows,
     keepers: BTreeMap<CustomerId, Keeper>,
 }
 
+/// The rows of all shares, kept up to date by reading only what has changed.
+#[derive(Debug, Default)]
+struct SharedRows {
+    rows: BTreeMap<String, Row>,
+    newest: u64,
+}
+
+impl SharedRows {
+    async fn update(&mut self, platform: &Client) -> Result<(), PlatformError> {
+        for row in platform.changed(SHARES, self.newest).await? {
+            self.newest = self.newest.max(row.version);
+            self.rows.insert(row.key.clone(), row);
+        }
+        Ok(())
+    }
+}
+
 /// One round: renew, read, adopt, propose. Returns whether anything is still moving.
 async fn round(board: &Board, known: &mut Known) -> Result<bool, PlatformError> {
     let policy = board.policy.load_full();
@@ -252,16 +274,15 @@
     }
     let sent = board.clock.now();
     renew(board).await?;
-    known.leases.note(&board.platform.scan(lease::PREFIX).await?, board.clock.now());
-    let rows = board.platform.scan(SHARES).await?;
-    let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
+    read_leases(board, known).await?;
+    known.rows.update(&board.platform).await?;
     let isolation = Duration::from_secs(policy.limits.isolation_s);
     let term = Term { lease_end: sent + share::LEASE, floor_end: sent + share::LEASE + isolation };
     let mut moved = false;
     for (id, customer) in policy.customers() {
         let Some(share) = board.tables.load().shares.get(&id).cloned() else { continue };
         let key = format!("{SHARES}{}", customer.name);
-        let row = rows.get(key.as_str()).copied();
+        let row = known.rows.rows.get(&key);
         let reading = Reading { key: &key, row, leases: &known.leases, term };
         let keeper = known.keepers.entry(id).or_default();
         moved |= follow(board, &share, reading, customer.burst, keeper).await?;
@@ -269,6 +290,17 @@
     Ok(moved)
 }
 
+/// Reads all leases now and then: a lapse is noticed late rather than at the price of every round.
+async fn read_leases(board: &Board, known: &mut Known) -> Result<(), PlatformError> {
+    let now = board.clock.now();
+    if known.leases_read.is_some_and(|read| now.since(read) < LEASES_PERIOD) {
+        return Ok(());
+    }
+    known.leases.note(&board.platform.scan(lease::PREFIX).await?, board.clock.now());
+    known.leases_read = Some(now);
+    Ok(())
+}
+
 async fn renew(board: &Board) -> Result<(), PlatformError> {
     let me = &board.settings.vm;
     let row = board.platform.row(&lease::key(me)).await?;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -108,6 +108,8 @@
 pub struct Scan {
     /// The prefix of the keys.
     pub prefix: String,
+    /// Only rows that a later commit than this one wrote.
+    pub after: u64,
 }
 
 /// Rows by their keys.
@@ -182,7 +184,17 @@
     ///
     /// Returns an error when the platform does not answer in time.
     pub async fn scan(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
-        self.exchange("/table/scan", &Scan { prefix: prefix.to_owned() }).await
+        self.changed(prefix, 0).await
+    }
+
+    /// Reads the rows whose keys start with `prefix` and that a commit after `after` wrote. Deleted rows
+    /// are not told.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform does not answer in time.
+    pub async fn changed(&self, prefix: &str, after: u64) -> Result<Vec<Row>, PlatformError> {
+        self.exchange("/table/scan", &Scan { prefix: prefix.to_owned(), after }).await
     }
 
     /// Stores an object. Objects are never changed, so a repeat does no harm.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -186,7 +186,8 @@
     fn scan(&mut self, body: &[u8]) -> Response {
         self.usage.reads += 1;
         let Ok(scan) = serde_json::from_slice::<Scan>(body) else { return bad() };
-        let rows: Vec<&Row> = self.table.scan(&scan.prefix).collect();
+        let rows = self.table.scan(&scan.prefix).filter(|row| row.version > scan.after);
+        let rows: Vec<&Row> = rows.collect();
         json(&rows)
     }
 }
