Measure a request that crashes instances, and split the fakes

Cause: the situation was missing from the measure, and the fakes were one file of 662 lines.

Change: instances of the fakes die and come back; deployments, parts and crashes have files of their own. What callers send again no longer counts as offered: with it, goodput could not reach 1 in that situation.

--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -3,13 +3,16 @@
 //! `cargo run --release --example policy -- --deployment casablanca --seed 1`. docs/POLICY.md explains
 //! the situations and the figures.
 
+mod crash;
+mod deployment;
 mod fakes;
 mod measure;
+mod parts;
 mod situations;
 
 use std::process::ExitCode;
 
-use fakes::Deployment;
+use deployment::Deployment;
 use measure::Figures;
 use serde::Serialize;
 use situations::Situation;
@@ -62,7 +65,7 @@
 
 fn parse(mut args: impl Iterator<Item = String>) -> Option<Options> {
     let mut options = Options {
-        deployments: vec![fakes::casablanca(), fakes::ulaanbaatar()],
+        deployments: vec![deployment::casablanca(), deployment::ulaanbaatar()],
         seed: 1,
         json: false,
     };
--- a/examples/policy/measure.rs
+++ b/examples/policy/measure.rs
@@ -5,7 +5,9 @@
 use gypsumtack::document::Importance;
 use serde::Serialize;
 
-use crate::fakes::{Deployment, End, World};
+use crate::deployment::Deployment;
+use crate::fakes::World;
+use crate::parts::End;
 use crate::situations::{AFTER_MS, CALM_MS, GREEDY, Situation, TRIGGER_MS, WEIGHTS};
 
 /// One window of the time line, in milliseconds.
@@ -28,6 +30,8 @@
     pub wasted: f64,
     /// Less important requests run while more important ones were shed, as a fraction.
     pub inversions: f64,
+    /// Instances that died.
+    pub crashes: u32,
     /// The most attempts of a request beyond its calls.
     pub most_retries: u32,
 }
@@ -38,6 +42,7 @@
     window: u64,
     whole: bool,
     over_rate: bool,
+    resent: bool,
 }
 
 pub fn figures(world: &World<'_>, deployment: &Deployment, situation: &Situation) -> Figures {
@@ -52,6 +57,7 @@
                 window: request.sent.as_micros() / 1_000 / WINDOW_MS,
                 whole: end == End::Whole,
                 over_rate: end == End::OverRate,
+                resent: request.resent > 0,
             }
         })
         .collect();
@@ -59,7 +65,7 @@
     let during: Vec<&Outcome> = outcomes.iter().filter(|o| trigger.contains(&o.window)).collect();
     let seconds = (TRIGGER_MS - SETTLE_MS) as f64 / 1_000.0;
     let can = deployment.capacity() / situation.slowed * seconds;
-    let offered = during.iter().filter(|o| !o.over_rate).count() as f64;
+    let offered = during.iter().filter(|o| !o.over_rate && !o.resent).count() as f64;
     let whole = during.iter().filter(|o| o.whole).count() as f64;
     let tried = world.attempts.iter().zip(&world.calls);
     Figures {
@@ -73,6 +79,7 @@
         },
         wasted: wasted(world),
         inversions: inversions(&during),
+        crashes: world.crashes,
         most_retries: tried
             .map(|(attempts, calls)| attempts - calls.min(attempts))
             .max()
@@ -172,13 +179,14 @@
 pub fn row(deployment: &str, situation: &str, kind: &str, f: &Figures) -> String {
     format!(
         "{deployment:<12} {situation:<16} {kind:<9} goodput {:>5.3}  recovery {:>5.2} s  worst {:>5.3}  \
-         within refused {:>8.5}  wasted {:>5.3}  inversions {:>7.5}  retries {}",
+         within refused {:>8.5}  wasted {:>5.3}  inversions {:>7.5}  retries {}  crashes {}",
         f.goodput,
         f.recovery_s,
         f.worst_customer,
         f.refused_within,
         f.wasted,
         f.inversions,
-        f.most_retries
+        f.most_retries,
+        f.crashes
     )
 }
--- a/examples/policy/situations.rs
+++ b/examples/policy/situations.rs
@@ -7,8 +7,10 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::fakes::{Deployment, End, Request, World};
+use crate::deployment::Deployment;
+use crate::fakes::World;
 use crate::measure::{self, Figures};
+use crate::parts::{End, Request};
 
 /// Calm before the trigger, the trigger, and calm after it, in milliseconds.
 pub const CALM_MS: u64 = 4_000;
@@ -38,10 +40,12 @@
     pub resend: bool,
     /// How many times its rate the greedy customer sends.
     pub greed: f64,
+    /// Whether a request that crashes instances comes every second and comes back when it fails.
+    pub crashes: bool,
 }
 
 const CALM: Situation =
-    Situation { name: "", load: CALM_LOAD, slowed: 1.0, resend: false, greed: 1.0 };
+    Situation { name: "", load: CALM_LOAD, slowed: 1.0, resend: false, greed: 1.0, crashes: false };
 
 impl Situation {
     pub fn all() -> Vec<Self> {
@@ -52,13 +56,14 @@
             Self { name: "deep slow 10x", slowed: 10.0, ..CALM },
             Self { name: "hard retries 2x", load: 2.0, resend: true, ..CALM },
             Self { name: "greedy 8x", greed: 8.0, ..CALM },
+            Self { name: "crashing request", crashes: true, resend: true, ..CALM },
             Self { name: "surge 5x + slow", load: 5.0, slowed: 4.0, resend: true, ..CALM },
         ]
     }
 
     /// Whether capacity suffices for all work within the customers' rates.
     pub fn suffices(&self) -> bool {
-        self.load <= 1.0 && self.slowed <= 1.0
+        self.load <= 1.0 && self.slowed <= 1.0 && !self.crashes
     }
 }
 
@@ -97,6 +102,18 @@
     rng: &mut SmallRng,
 ) {
     let total: u32 = WEIGHTS.iter().sum();
+    if situation.crashes && triggered && ms % 1_000 == 0 {
+        let sent = Time::from_millis(ms);
+        world.send(Request {
+            customer: CustomerId::new(0),
+            weight: WEIGHTS[0],
+            route: deployment.routes.len() - 1,
+            sent,
+            deadline: sent + PATIENCE,
+            resent: 0,
+            crashes: true,
+        });
+    }
     for (customer, &weight) in WEIGHTS.iter().enumerate() {
         let greed = if triggered && customer == GREEDY { situation.greed } else { 1.0 };
         let part = f64::from(weight) / f64::from(total);
@@ -112,6 +129,7 @@
                         sent,
                         deadline: sent + PATIENCE,
                         resent: 0,
+                        crashes: false,
                     });
                 }
                 mean -= 1.0;
