--- a/examples/policy/fakes.rs
+++ b/examples/policy/fakes.rs
@@ -42,7 +42,7 @@
     events: BinaryHeap<Reverse<(Time, u64)>>,
     pending: BTreeMap<u64, Event>,
     sequence: u64,
-    rng: SmallRng,
+    pub(super) rng: SmallRng,
     pub ended: Vec<(RootId, Time, End)>,
     /// Slot time spent on all requests, and on each root at the bottleneck and elsewhere.
     pub spent: Vec<[f64; 2]>,
@@ -158,7 +158,7 @@
         }
     }
 
-    fn importance(&self, root: RootId) -> Importance {
+    pub(super) fn importance(&self, root: RootId) -> Importance {
         self.deployment.routes[self.roots[root].request.route].importance
     }
 
@@ -182,23 +182,6 @@
         self.call(root, None, entry, service, ALLOWANCE);
     }
 
-    /// Whether the entry refuses what a service on the way would refuse.
-    fn refuses(&mut self, entry: usize, root: RootId) -> bool {
-        let request = self.roots[root].request;
-        let importance = self.importance(root);
-        let mut services = vec![self.deployment.routes[request.route].service];
-        while let Some(next) = self.deployment.services[services[services.len() - 1]].calls.first()
-        {
-            services.push(*next);
-        }
-        let cut = |service: &usize| {
-            self.vms[entry].cuts[*service].of(Some(request.customer), importance).at(self.now)
-        };
-        let level = services.iter().map(cut).fold(0.0, f32::max);
-        self.roots[root].passed = 1.0 - level;
-        level > 0.0 && self.rng.random::<f32>() < level
-    }
-
     fn call(
         &mut self,
         root: RootId,
@@ -447,20 +430,6 @@
         self.now < self.roots[root].request.deadline
     }
 
-    /// The entry learns from an answer; a hop passes on what it learned.
-    fn learn(&mut self, frame: FrameId) {
-        let f = &self.frames[frame];
-        let (root, service, level) = (f.root, f.service, f.level);
-        let mut top = frame;
-        while let Some(parent) = self.frames[top].parent {
-            top = parent;
-        }
-        let entry = self.frames[top].daemon;
-        let customer = self.roots[root].request.customer;
-        let importance = self.importance(root);
-        self.vms[entry].cuts[service].of(Some(customer), importance).note(level, self.now);
-    }
-
     fn wait_over(&mut self, frame: FrameId, ticket: Ticket) {
         let Stage::Waiting(vm, waiting) = self.frames[frame].state else { return };
         if waiting != ticket || !self.vms[vm].guard.cancel(ticket) {
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -5,6 +5,7 @@
 
 mod crash;
 mod deployment;
+mod entry;
 mod fakes;
 mod measure;
 mod parts;
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -9,7 +9,7 @@
 
 use crate::board::{BackendServer, Board};
 use crate::document::CustomerId;
-use crate::envelope::{Envelope, Load, Reach, Report};
+use crate::envelope::{Envelope, Reach, Report};
 use crate::guard::Work;
 use crate::journal;
 use crate::live::{Live, LiveEntry};
@@ -135,14 +135,7 @@
     };
     match tokio::time::timeout(left, whole).await {
         Ok(Ok((status, headers, body))) => {
-            let report = Report {
-                request,
-                outcome: Outcome::Ran,
-                spent: 0,
-                load: Load::default(),
-                reason: None,
-                reach: Vec::new(),
-            };
+            let report = Report::new(request, Outcome::Ran, None);
             Answer { status, headers, body, report }
         }
         Ok(Err(Lost::Broken(_))) if is_dead(board, backend).await => {
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -16,7 +16,7 @@
 
 use crate::board::{Board, InFlight};
 use crate::claim::{self, Claim, Header, State, Stored, StoredBody, Verdict};
-use crate::envelope::{Load, Report, Token};
+use crate::envelope::{Report, Token};
 use crate::error::PlatformError;
 use crate::forward::{self, Call};
 use crate::key::Digest;
@@ -251,14 +251,7 @@
     }
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
     let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
-    let report = Report {
-        request,
-        outcome: Outcome::Ran,
-        spent: 0,
-        load: Load::default(),
-        reason: None,
-        reach: Vec::new(),
-    };
+    let report = Report::new(request, Outcome::Ran, None);
     Answer { status, headers, body, report }
 }
 
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -111,6 +111,13 @@
     pub reach: Vec<Reach>,
 }
 
+impl Report {
+    /// The report about a request, before anything is known of load and reach.
+    pub fn new(request: RequestId, outcome: Outcome, reason: Option<Reason>) -> Self {
+        Self { request, outcome, spent: 0, load: Load::default(), reason, reach: Vec::new() }
+    }
+}
+
 /// A service that a request reached, and how many like it the service refuses now.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reach {
--- a/src/message.rs
+++ b/src/message.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use serde::Serialize;
 
-use crate::envelope::{Load, Report, RequestId};
+use crate::envelope::{Report, RequestId};
 use crate::reason::{Outcome, Reason};
 
 /// The customer's key, from callers only.
@@ -116,14 +116,7 @@
             status: reason.status(),
             headers,
             body: serde_json::to_vec(&body).unwrap_or_default().into(),
-            report: Report {
-                request,
-                outcome,
-                spent: 0,
-                load: Load::default(),
-                reason: Some(reason),
-                reach: Vec::new(),
-            },
+            report: Report::new(request, outcome, Some(reason)),
         }
     }
 
