Do not take a fleet of one failure domain for cut off

Cause: with the platform down and no other failure domain known, a VM counted as cut off, so a fleet of one domain would refuse keyed requests after isolation_s although nothing can be withdrawn.

Change: other domains are those of known members, or those of the document before any is known; without any, there is nothing to be cut off from.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -155,18 +155,29 @@
         if !board.platform.is_silent(now, CONTACT_TIME) {
             return false;
         }
-        let mine = &board.settings.failure_domain;
-        let others: BTreeSet<String> = board.read_view(|view| {
-            let domains = view.iter().map(|member| member.record.domain.clone());
-            domains.filter(|domain| domain != mine).collect()
-        });
+        let others = other_domains(board);
         let silent = |domain: &String| {
             self.domains.get(domain).is_none_or(|heard| now.since(*heard) > CONTACT_TIME)
         };
-        others.is_empty() || others.iter().any(silent)
+        others.iter().any(silent)
     }
 }
 
+/// Failure domains beyond the own one: those of known members, or before any is known those of the
+/// document. A fleet of one failure domain has none, and cannot be cut off from itself.
+fn other_domains(board: &Board) -> BTreeSet<String> {
+    let mine = &board.settings.failure_domain;
+    let known: BTreeSet<String> = board.read_view(|view| {
+        let domains = view.iter().map(|member| member.record.domain.clone());
+        domains.filter(|domain| domain != mine).collect()
+    });
+    if !known.is_empty() {
+        return known;
+    }
+    let written = &board.policy.load().domains;
+    written.iter().filter(|domain| *domain != mine).cloned().collect()
+}
+
 /// Registers this VM in the table, and reads the members from there.
 pub async fn registration(board: Arc<Board>) {
     let mut registered: Option<Record> = None;
--- a/src/document/policy.rs
+++ b/src/document/policy.rs
@@ -93,6 +93,8 @@
     pub version: u64,
     /// Bounds that hold for the whole system.
     pub limits: LimitSpec,
+    /// Failure domains of the fleet.
+    pub domains: BTreeSet<String>,
     customers: Vec<Customer>,
     services: Vec<Service>,
     routes: Vec<Route>,
@@ -107,6 +109,7 @@
         Self {
             version: 0,
             limits: LimitSpec::default(),
+            domains: BTreeSet::new(),
             customers: Vec::new(),
             services: Vec::new(),
             routes: Vec::new(),
@@ -121,6 +124,7 @@
         let mut policy = Self {
             version,
             limits: document.limits.clone(),
+            domains: document.failure_domains.keys().cloned().collect(),
             routes: Vec::new(),
             keys: BTreeMap::new(),
             ..previous.clone()
--- a/tests/cuts.rs
+++ b/tests/cuts.rs
@@ -93,3 +93,16 @@
     until("it is back", || board.isolated_for().is_none()).await;
     assert_eq!(ask("strict-key").await.outcome(), "ran");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_of_one_domain_is_not_cut_off_by_an_outage() {
+    let one = document().replace("[failure_domains.b]\nregion = \"r\"\n", "");
+    let mut fleet = Fleet::start(&one).await;
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    fleet.settle(&["deep"]).await;
+    let board = Arc::clone(fleet.nodes[0].daemon.board());
+    fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+    tokio::time::sleep(std::time::Duration::from_secs(5)).await;
+    assert!(board.isolated_for().is_none());
+    assert_eq!(fleet.ask(0, Question::get("/deep").key("acme-key")).await.outcome(), "ran");
+}
