Read clocks in one module, and observe a gate under one lock

Cause: reading the change again: three modules of the library read a clock of their own, each answer locked the gate twice for load and level, and the customer of an envelope was looked up in two places.

Change: the module time holds all clock readings of the library; Gate::observe returns load and level together; customer_of serves both callers.

Conclusion: kept, because it is simpler and takes one lock less.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use gypsumtack::claim::{self, Claim, State, Stored, StoredBody};
-use gypsumtack::claims::unix_seconds;
 use gypsumtack::controllers::MEMBERS;
 use gypsumtack::document::Sections;
 use gypsumtack::envelope::{RequestId, Token};
@@ -14,7 +13,7 @@
 use gypsumtack::ops::Status;
 use gypsumtack::platform::{Client, Commit, Row};
 use gypsumtack::publish::{self, Audit, Edit, Scope};
-use gypsumtack::time::Clock;
+use gypsumtack::time::{Clock, unix_seconds};
 use gypsumtack::{Digest, Document, Error, Invalid, Result, explain, settings};
 use gypsumtack_standin::caller::{Caller, Question};
 use gypsumtack_standin::demo;
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -8,8 +8,9 @@
 use hyper::body::Incoming;
 
 use crate::board::{BackendServer, Board};
-use crate::document::CustomerId;
+use crate::document::{CustomerId, Policy};
 use crate::envelope::{Envelope, Reach, Report};
+use crate::gate::Observed;
 use crate::guard::Work;
 use crate::journal;
 use crate::live::{Live, LiveEntry};
@@ -57,8 +58,7 @@
     let live = entry.live();
     let spent = envelope.allowance.saturating_sub(live.ledger.left());
     let mut reach = live.reach();
-    let load = board.gate.load();
-    let level = board.gate.level(work.customer, work.importance);
+    let Observed { load, level } = board.gate.observe(work.customer, work.importance);
     reach.push(Reach { service: envelope.service, level });
     Answer { report: Report { request, spent, load, reach, ..answer.report }, ..answer }
 }
@@ -69,15 +69,13 @@
     (board.is_ready() && backend.service == envelope.service).then_some(backend)
 }
 
-fn customer_of(board: &Board, envelope: &Envelope) -> CustomerId {
-    let policy = board.policy.load();
-    let id = envelope.customer.as_deref().and_then(|name| policy.customer_id(name));
-    id.unwrap_or(OPEN_CUSTOMER)
+fn customer_of(policy: &Policy, envelope: &Envelope) -> Option<CustomerId> {
+    policy.customer_id(envelope.customer.as_deref()?)
 }
 
 fn work_of(board: &Board, envelope: &Envelope, deadline: Time) -> Work {
     let policy = board.policy.load();
-    let id = envelope.customer.as_deref().and_then(|name| policy.customer_id(name));
+    let id = customer_of(&policy, envelope);
     Work {
         customer: id.unwrap_or(OPEN_CUSTOMER),
         weight: id.map_or(1, |id| policy.customer(id).weight),
@@ -96,8 +94,8 @@
             .customer(envelope.customer.as_deref()),
         &reason,
     );
-    let load = board.gate.load();
-    let level = board.gate.level(customer_of(board, envelope), envelope.importance);
+    let customer = customer_of(&board.policy.load(), envelope).unwrap_or(OPEN_CUSTOMER);
+    let Observed { load, level } = board.gate.observe(customer, envelope.importance);
     let reach = vec![Reach { service: envelope.service.clone(), level }];
     let mut answer = Answer::not_run(envelope.request, reason);
     (answer.report.load, answer.report.reach) = (load, reach);
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -24,6 +24,7 @@
 use crate::platform::{Client, Commit, Row, Transaction};
 use crate::reason::{Outcome, Reason};
 use crate::retry::Ledger;
+use crate::time::unix_seconds;
 
 /// Claims in one write at most.
 const BATCH: usize = 64;
@@ -415,8 +416,3 @@
         }
     }
 }
-
-/// Seconds since 1970, for operators to read. No decision about time depends on it.
-pub fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
-}
--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 use crate::quarantine::Rumor;
 use crate::share::LOAN_USE;
 use crate::sync::lock;
+use crate::time::Clock;
 
 /// The largest message, in bytes: a whole document must fit.
 const LARGEST_MESSAGE: usize = 16 << 20;
@@ -152,7 +153,7 @@
 {
     let sealed = board.fleet.seal(question);
     let mut ctx = context::current();
-    ctx.deadline = std::time::Instant::now() + time;
+    ctx.deadline = Clock::instant_after(time);
     let exchange = async {
         let client = board.control.get(address).await?;
         match send(client, ctx, sealed).await {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -12,6 +12,7 @@
 use crate::error::{Error, Result};
 use crate::server::{self, Bounds};
 use crate::settings::Settings;
+use crate::time;
 use crate::{claims, control, controllers, egress, entry, ops, peer};
 
 /// How often a planned stop looks whether all requests have ended.
@@ -69,7 +70,7 @@
         let control = bind("listen.control", &mut listen.control).await?;
         let operators = bind("listen.operators", &mut listen.operators).await?;
         let (writer, inbox) = claims::channel();
-        let board = Arc::new(Board::new(settings, incarnation(), writer));
+        let board = Arc::new(Board::new(settings, time::incarnation(), writer));
         board.publish_self();
         let doors = Doors::open(&board, callers, egress, peers, control, operators)?;
         let controllers = vec![
@@ -97,10 +98,10 @@
         tracing::info!(event = "leaving", vm = board.settings.vm);
         board.leave();
         tokio::time::sleep(Duration::from_millis(limits.leave_ms)).await;
-        let time = Duration::from_millis(limits.stop_ms);
-        let end = board.clock.now() + time;
+        let bound = Duration::from_millis(limits.stop_ms);
+        let end = board.clock.now() + bound;
         let Doors { callers, peers, egress, control, operators } = self.doors;
-        tokio::join!(callers.close(time), peers.close(time));
+        tokio::join!(callers.close(bound), peers.close(bound));
         while !board.is_idle() && board.clock.now() < end {
             tokio::time::sleep(STOP_PERIOD).await;
         }
@@ -175,9 +176,3 @@
     *address = listener.local_addr().map_err(on_error)?;
     Ok(listener)
 }
-
-/// A number that grows with each start. Starts of one VM are further apart than its clock's error.
-fn incarnation() -> u64 {
-    let span = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -92,20 +92,16 @@
 
     /// The load now.
     pub fn load(&self) -> Load {
-        let state = self.lock();
-        Load {
-            in_flight: state.guard.in_flight() as u32,
-            queued: state.guard.queued() as u32,
-            slots: state.guard.slots() as u32,
-        }
+        self.lock().load()
     }
 
-    /// The share of this customer's work of this importance that is refused now.
-    pub fn level(&self, customer: CustomerId, importance: Importance) -> f32 {
+    /// What goes back with an answer to this customer's work of this importance.
+    pub fn observe(&self, customer: CustomerId, importance: Importance) -> Observed {
         let now = self.clock.now();
         let mut state = self.lock();
         let idle = state.guard.idle();
-        state.levels.share(customer, importance, idle, now)
+        let level = state.levels.share(customer, importance, idle, now);
+        Observed { load: state.load(), level }
     }
 
     fn permit(self: &Arc<Self>, since: Time) -> Permit {
@@ -117,7 +113,24 @@
     }
 }
 
+/// A gate's load, and how much of some work it refuses.
+#[derive(Debug, Clone, Copy)]
+pub struct Observed {
+    /// The load.
+    pub load: Load,
+    /// The share of this work that is refused.
+    pub level: f32,
+}
+
 impl State {
+    fn load(&self) -> Load {
+        Load {
+            in_flight: self.guard.in_flight() as u32,
+            queued: self.guard.queued() as u32,
+            slots: self.guard.slots() as u32,
+        }
+    }
+
     /// Tells the tasks whose wait ended. A slot for a task that has gone passes to the next one.
     fn deliver(&mut self, released: Released) {
         for shed in released.shed {
--- a/src/time.rs
+++ b/src/time.rs
@@ -5,7 +5,7 @@
 //! in [docs/DESIGN.md](https://github.com/gypsumtack/gypsumtack/blob/main/docs/DESIGN.md).
 
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 
@@ -72,4 +72,24 @@
     pub fn now(&self) -> Time {
         Time::ZERO + self.origin.elapsed()
     }
+
+    /// The moment `span` from now in the form that libraries take for a deadline.
+    pub fn instant_after(span: Duration) -> Instant {
+        Instant::now() + span
+    }
+}
+
+/// Seconds since 1970, for operators to read. No decision about time depends on it.
+pub fn unix_seconds() -> u64 {
+    since_1970().as_secs()
+}
+
+/// A number that grows with each start of a daemon: milliseconds since 1970. Starts of one VM are
+/// further apart than its clock's error.
+pub fn incarnation() -> u64 {
+    u64::try_from(since_1970().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn since_1970() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/standin/src/demo/system.rs
+++ b/standin/src/demo/system.rs
@@ -5,11 +5,10 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use gypsumtack::claims::unix_seconds;
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
 use gypsumtack::tables::CustomerShare;
-use gypsumtack::time::Clock;
+use gypsumtack::time::{Clock, unix_seconds};
 use gypsumtack::{Board, Daemon, Digest, Error, Result, Settings, platform, settings};
 use tokio::task::JoinHandle;
 
