--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -7,14 +7,14 @@
 use gypsumtack::controllers::MEMBERS;
 use gypsumtack::document::Sections;
 use gypsumtack::envelope::{RequestId, Token};
-use gypsumtack::error::PlatformError;
+use gypsumtack::error::StoreError;
 use gypsumtack::journal::Entry;
 use gypsumtack::member::Record;
 use gypsumtack::ops::Status;
-use gypsumtack::platform::{Client, Commit, Row};
 use gypsumtack::publish::{self, Audit, Edit, Scope};
+use gypsumtack::store::{Client, Commit, Row};
 use gypsumtack::time::{Clock, unix_seconds};
-use gypsumtack::{Digest, Document, Error, Invalid, Result, explain, settings};
+use gypsumtack::{Digest, Document, Error, Invalid, Result, explain, settings, wire};
 use gypsumtack_standin::caller::{Caller, Question};
 use gypsumtack_standin::demo;
 use serde::Serialize;
@@ -47,7 +47,7 @@
 }
 
 fn client(address: SocketAddr) -> Client {
-    Client::new(&settings::Platform { address, timeout_ms: TIMEOUT_MS }, Clock::start())
+    Client::new(&settings::Platform { address, timeout_ms: TIMEOUT_MS }, wire::OWN, Clock::start())
 }
 
 async fn run_demo(json: bool, seed: u64) -> ExitCode {
@@ -147,7 +147,7 @@
 }
 
 async fn history(client: &Client, json: bool) -> Result<()> {
-    let rows = client.scan(publish::AUDIT).await?;
+    let rows = client.scan(publish::AUDIT).await?.rows;
     let audits: Vec<Audit> = rows.iter().filter_map(Row::decode).collect();
     print(&audits, json, |audits| {
         let line = |audit: &Audit| {
@@ -176,7 +176,7 @@
 }
 
 async fn members(client: &Client) -> Result<Vec<Record>> {
-    let rows = client.scan(MEMBERS).await?;
+    let rows = client.scan(MEMBERS).await?.rows;
     Ok(rows.iter().filter_map(Row::decode).collect())
 }
 
@@ -267,7 +267,7 @@
 }
 
 async fn claims(client: &Client, json: bool) -> Result<()> {
-    let rows = client.scan(claim::PREFIX).await?;
+    let rows = client.scan(claim::PREFIX).await?.rows;
     let now = unix_seconds();
     let open = rows.iter().filter_map(|row| {
         let claim: Claim = row.decode()?;
@@ -336,7 +336,7 @@
             Ok(())
         }
         Commit::Conflict(_) => {
-            let changed = PlatformError::Refused("the claim changed meanwhile".to_owned());
+            let changed = StoreError::Refused("the claim changed meanwhile".to_owned());
             Err(changed.into())
         }
     }
--- a/cli/src/output.rs
+++ b/cli/src/output.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use gypsumtack::error::PlatformError;
+use gypsumtack::error::StoreError;
 use gypsumtack::{Error, Result};
 use serde::Serialize;
 
@@ -39,7 +39,7 @@
             ExitCode::from(INVALID)
         }
         Error::Conflict { .. } => ExitCode::from(CONFLICT),
-        Error::Platform(PlatformError::AnswerLost(_)) => ExitCode::from(UNKNOWN),
+        Error::Platform(StoreError::AnswerLost(_)) => ExitCode::from(UNKNOWN),
         Error::Platform(_) | Error::Daemon { .. } => ExitCode::from(UNREACHABLE),
     }
 }
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode, Uri};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-use crate::board::{BackendServer, Board};
+use crate::board::BackendServer;
+use crate::connection::Lost;
 use crate::document::{CustomerId, Policy};
 use crate::envelope::{Envelope, Reach, Report};
 use crate::gate::Observed;
@@ -17,6 +17,7 @@
 use crate::message::{self, Answer, Message};
 use crate::metrics::GuardLabels;
 use crate::reason::{Outcome, Reason};
+use crate::shared::Shared;
 use crate::time::Time;
 
 /// What a hop keeps of the deadline, so that its refusal still reaches the caller in time.
@@ -29,27 +30,28 @@
 const OPEN_CUSTOMER: CustomerId = CustomerId::new(u32::MAX);
 
 /// Runs a request on the local backend server, once.
-pub async fn run(board: &Arc<Board>, envelope: Envelope, message: Message) -> Answer {
-    let request = envelope.request;
+pub async fn run(shared: &Arc<Shared>, envelope: Envelope, message: Message) -> Answer {
+    let board = &shared.board;
+    let request = envelope.request.clone();
     let deadline = board.clock.now() + Duration::from_micros(envelope.left);
     let deadline = deadline - HOP_RESERVE;
-    let Some(backend) = usable_backend(board, &envelope) else {
-        return refuse(board, &envelope, Reason::NotReady);
+    let Some(backend) = usable_backend(shared, &envelope) else {
+        return refuse(shared, &envelope, Reason::NotReady);
     };
     if let Err(reason) = board.check_waiting(&envelope.route) {
-        return refuse(board, &envelope, reason);
+        return refuse(shared, &envelope, reason);
     }
     let place = envelope.suspect.then(|| board.suspect_place());
     if matches!(place, Some(None)) {
-        return refuse(board, &envelope, Reason::SuspectRuns);
+        return refuse(shared, &envelope, Reason::SuspectRuns);
     }
-    let work = work_of(board, &envelope, deadline);
+    let work = work_of(shared, &envelope, deadline);
     let mut permit = match board.gate.enter(work, envelope.passed).await {
         Ok(permit) => permit,
-        Err(reason) => return refuse(board, &envelope, reason),
+        Err(reason) => return refuse(shared, &envelope, reason),
     };
     let entry = board.live.enter(Live::new(envelope.clone(), deadline));
-    let answer = exchange(board, &backend, &entry, message).await;
+    let answer = exchange(shared, &backend, &entry, message).await;
     if answer.report.outcome == Outcome::Ran {
         permit.complete();
     }
@@ -64,17 +66,17 @@
 }
 
 /// The announced backend server, if it runs the service that is asked for and takes new work.
-fn usable_backend(board: &Board, envelope: &Envelope) -> Option<Arc<BackendServer>> {
-    let backend = board.backend.load_full()?;
-    (board.is_ready() && backend.service == envelope.service).then_some(backend)
+fn usable_backend(shared: &Shared, envelope: &Envelope) -> Option<Arc<BackendServer>> {
+    let backend = shared.board.backend.load_full()?;
+    (shared.board.is_ready() && backend.service == envelope.service).then_some(backend)
 }
 
 fn customer_of(policy: &Policy, envelope: &Envelope) -> Option<CustomerId> {
     policy.customer_id(envelope.customer.as_deref()?)
 }
 
-fn work_of(board: &Board, envelope: &Envelope, deadline: Time) -> Work {
-    let policy = board.policy.load();
+fn work_of(shared: &Shared, envelope: &Envelope, deadline: Time) -> Work {
+    let policy = shared.board.policy.load();
     let id = customer_of(&policy, envelope);
     Work {
         customer: id.unwrap_or(OPEN_CUSTOMER),
@@ -86,7 +88,8 @@
 }
 
 /// Refuses a request of which no byte has reached the backend server.
-fn refuse(board: &Board, envelope: &Envelope, reason: Reason) -> Answer {
+fn refuse(shared: &Shared, envelope: &Envelope, reason: Reason) -> Answer {
+    let board = &shared.board;
     let labels = GuardLabels { importance: envelope.importance.as_str(), reason: reason.code() };
     board.metrics.refusals.get_or_create(&labels).inc();
     board.journal.note(
@@ -97,49 +100,34 @@
     let customer = customer_of(&board.policy.load(), envelope).unwrap_or(OPEN_CUSTOMER);
     let Observed { load, level } = board.gate.observe(customer, envelope.importance);
     let reach = vec![Reach { service: envelope.service.clone(), level }];
-    let mut answer = Answer::not_run(envelope.request, reason);
+    let mut answer = Answer::not_run(envelope.request.clone(), reason);
     (answer.report.load, answer.report.reach) = (load, reach);
     answer
 }
 
 /// Sends the request to the backend server and collects its whole answer within the deadline.
 async fn exchange(
-    board: &Board,
+    shared: &Shared,
     backend: &BackendServer,
     entry: &LiveEntry<'_>,
     message: Message,
 ) -> Answer {
     let live = entry.live();
-    let request = live.envelope.request;
-    let left = live.deadline.since(board.clock.now());
+    let request = live.envelope.request.clone();
+    let left = live.deadline.since(shared.board.clock.now());
     if left.is_zero() {
         let reason = Reason::DeadlinePassed { allowed: live.envelope.allowed };
         return Answer::not_run(request, reason);
     }
-    let extra = [
-        (message::TOKEN, message::ascii(&entry.token().to_string())),
-        (message::REQUEST, message::ascii(&request.to_string())),
-        (message::DEADLINE, HeaderValue::from(left.as_millis() as u64)),
-    ];
-    let Some(uri) = target(backend, &message.uri) else {
-        let reason = Reason::BadRequest { problem: "the path cannot be passed on".to_owned() };
-        return Answer::not_run(request, reason);
-    };
-    let sent = board.http.request(message.to_request(uri, &extra));
-    let limit = board.policy.load().limits.answer_bytes;
-    let whole = async {
-        let response = sent.await.map_err(Lost::from)?;
-        read_answer(response, limit).await
-    };
+    let extra = headers_for(shared, backend, entry, left);
+    let limit = shared.board.policy.load().limits.answer_bytes;
+    let whole = shared.server.exchange(backend.address, message.into_request(extra), limit);
     match tokio::time::timeout(left, whole).await {
-        Ok(Ok((status, headers, body))) => {
-            let report = Report::new(request, Outcome::Ran, None);
-            Answer { status, headers, body, report }
-        }
-        Ok(Err(Lost::Broken(_))) if is_dead(board, backend).await => {
+        Ok(Ok((status, headers, body))) => judge(shared, live, status, headers, body),
+        Ok(Err(Lost::Broken(_))) if is_dead(shared, backend).await => {
             Answer::refusal(request, Outcome::Unknown, Reason::Crashed)
         }
-        Ok(Err(lost)) => lost.into_answer(live),
+        Ok(Err(lost)) => answer_of(lost, live),
         Err(_) => {
             let reason = Reason::DeadlinePassed { allowed: live.envelope.allowed };
             Answer::refusal(request, Outcome::Unknown, reason)
@@ -147,65 +135,81 @@
     }
 }
 
-/// Whether the backend server is gone: its connection broke, and it takes no other.
-async fn is_dead(board: &Board, backend: &BackendServer) -> bool {
-    let connect = tokio::net::TcpStream::connect(backend.address);
-    let alive = matches!(tokio::time::timeout(PROBE_TIME, connect).await, Ok(Ok(_)));
-    if !alive && board.backend.load().as_deref() == Some(backend) {
-        board.lose_backend();
+/// Headers that only daemons set, for the backend server.
+fn headers_for(
+    shared: &Shared,
+    backend: &BackendServer,
+    entry: &LiveEntry<'_>,
+    left: Duration,
+) -> Vec<(HeaderName, HeaderValue)> {
+    let dialect = &shared.dialect;
+    let envelope = &entry.live().envelope;
+    let mut headers = vec![
+        (dialect.request.clone(), envelope.request.to_header()),
+        (dialect.deadline.clone(), HeaderValue::from(left.as_millis() as u64)),
+    ];
+    let token = entry.token().to_string();
+    let optional = [
+        (&dialect.token, Some(token.as_str())),
+        (&dialect.customer, envelope.customer.as_deref()),
+        (&dialect.caller, Some(envelope.caller.as_str())),
+        (&dialect.instance, Some(backend.id.as_str())),
+    ];
+    for (name, value) in optional {
+        if let (Some(name), Some(value)) = (name, value.filter(|value| !value.is_empty())) {
+            headers.push((name.clone(), message::ascii(value)));
+        }
     }
-    !alive
-}
-
-fn target(backend: &BackendServer, uri: &Uri) -> Option<Uri> {
-    let path = uri.path_and_query()?.clone();
-    let authority = backend.address.to_string();
-    Uri::builder().scheme("http").authority(authority).path_and_query(path).build().ok()
+    headers
 }
 
-async fn read_answer(
-    response: http::Response<Incoming>,
-    limit: u64,
-) -> Result<(StatusCode, http::HeaderMap, Bytes), Lost> {
-    let (parts, body) = response.into_parts();
-    let body = message::collect(body, limit).await.map_err(Lost::Incomplete)?;
-    let mut headers = parts.headers;
-    message::pass_on(&mut headers);
-    Ok((parts.status, headers, body))
-}
-
-/// How an answer was lost.
-enum Lost {
-    /// No connection was made, so no byte of the request left this daemon.
-    Unsent(String),
-    /// The connection failed after the request may have been sent.
-    Broken(String),
-    /// The answer came, but not all of it.
-    Incomplete(String),
+/// Tells the backend server's answer to this request from its refusal, and from bytes of another.
+fn judge(
+    shared: &Shared,
+    live: &Live,
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: Bytes,
+) -> Answer {
+    let dialect = &shared.dialect;
+    let request = live.envelope.request.clone();
+    let refused = dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name));
+    if refused || (dialect.instance.is_some() && status == StatusCode::MISDIRECTED_REQUEST) {
+        let reason = Reason::Shed { status: status.as_u16() };
+        return Answer::not_run(request, reason);
+    }
+    let unsealed = dialect.seal.as_ref().is_some_and(|name| !headers.contains_key(name));
+    let echo = headers.get(&dialect.request);
+    let crossed = dialect.named && echo.is_some_and(|echo| *echo != request.to_header());
+    if unsealed || crossed {
+        let problem = format!("the backend server's answer belongs to no request ({status})");
+        return Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem });
+    }
+    message::pass_on(&mut headers, &shared.private);
+    Answer { status, headers, body, report: Report::new(request, Outcome::Ran, None) }
 }
 
-impl From<hyper_util::client::legacy::Error> for Lost {
-    fn from(error: hyper_util::client::legacy::Error) -> Self {
-        match message::is_unsent(&error) {
-            true => Self::Unsent(message::causes(&error)),
-            false => Self::Broken(message::causes(&error)),
-        }
+/// Whether the backend server is gone: its connection broke, and it takes no other.
+async fn is_dead(shared: &Shared, backend: &BackendServer) -> bool {
+    let connect = tokio::net::TcpStream::connect(backend.address);
+    let alive = matches!(tokio::time::timeout(PROBE_TIME, connect).await, Ok(Ok(_)));
+    if !alive && shared.board.backend.load().as_deref() == Some(backend) {
+        shared.board.lose_backend();
     }
+    !alive
 }
 
-impl Lost {
-    fn into_answer(self, live: &Live) -> Answer {
-        let (outcome, problem) = match self {
-            Self::Unsent(error) => {
-                (Outcome::NotRun, format!("the backend server cannot be reached ({error})"))
-            }
-            Self::Broken(error) => {
-                (Outcome::Unknown, format!("the backend server broke off ({error})"))
-            }
-            Self::Incomplete(error) => {
-                (Outcome::Unknown, format!("the backend server's answer is bad: {error}"))
-            }
-        };
-        Answer::refusal(live.envelope.request, outcome, Reason::BadAnswer { problem })
-    }
+fn answer_of(lost: Lost, live: &Live) -> Answer {
+    let (outcome, problem) = match lost {
+        Lost::Unsent(error) => {
+            (Outcome::NotRun, format!("the backend server cannot be reached ({error})"))
+        }
+        Lost::Broken(error) => {
+            (Outcome::Unknown, format!("the backend server broke off ({error})"))
+        }
+        Lost::Incomplete(error) => {
+            (Outcome::Unknown, format!("the backend server's answer is bad: {error}"))
+        }
+    };
+    Answer::refusal(live.envelope.request.clone(), outcome, Reason::BadAnswer { problem })
 }
--- a/src/board.rs
+++ b/src/board.rs
@@ -9,26 +9,17 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper_util::client::legacy::Client as HttpClient;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
-use crate::claims;
-use crate::control;
-use crate::document::{CustomerId, Policy, Route};
+use crate::document::{CustomerId, Policy, Route, Text};
 use crate::envelope::Reach;
 use crate::gate::Gate;
 use crate::instance::Instances;
 use crate::journal::Journal;
-use crate::key::FleetKeys;
 use crate::live::LiveTable;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
-use crate::platform;
 use crate::quarantine::{Fingerprint, Quarantine, Standing};
 use crate::reason::Reason;
 use crate::settings::Settings;
@@ -36,13 +27,13 @@
 use crate::tables::Tables;
 use crate::time::{Clock, Time};
 
-/// How long an idle connection to another daemon or to the backend server is kept.
-const IDLE_TIME: Duration = Duration::from_secs(20);
-
 /// What the local backend server announced.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendServer {
+    /// Tells this start of it from every other; empty when it does not say.
+    #[serde(default)]
+    pub id: String,
     /// The service that it runs.
     pub service: String,
     /// Where it listens.
@@ -54,19 +45,32 @@
     pub draining: bool,
 }
 
-/// Everything that one daemon shares between its tasks.
+/// Where a document newer than the one in force was heard of.
+#[derive(Debug, Clone, Copy)]
+pub struct Newer {
+    /// Its version.
+    pub version: u64,
+    /// The control address of a daemon that has it.
+    pub control: SocketAddr,
+}
+
+impl Default for Newer {
+    fn default() -> Self {
+        Self { version: 0, control: SocketAddr::from(([0, 0, 0, 0], 0)) }
+    }
+}
+
+/// All state that the tasks of one daemon share.
 #[derive(Debug)]
 pub struct Board {
     /// The daemon's settings.
     pub settings: Settings,
     /// The process's clock.
     pub clock: Clock,
-    /// Keys shared with other daemons.
-    pub fleet: FleetKeys,
     /// The document in force, compiled. The document controller writes it.
     pub policy: ArcSwap<Policy>,
-    /// The document in force as sections of text, for peers. The document controller writes it.
-    pub document: ArcSwapOption<crate::publish::Body>,
+    /// The document in force as it was written, for peers. The document controller writes it.
+    pub document: ArcSwapOption<Text>,
     /// State that follows the policy. The document controller writes it.
     pub tables: ArcSwap<Tables>,
     /// Members as controllers see them.
@@ -79,18 +83,10 @@
     pub gate: Arc<Gate>,
     /// Requests that run on the local backend server.
     pub live: LiveTable,
-    /// The platform.
-    pub platform: platform::Client,
-    /// Connections to other daemons and to the local backend server.
-    pub http: HttpClient<HttpConnector, Full<Bytes>>,
-    /// Claims on their way to the table.
-    pub claims: claims::Writer,
-    /// Connections for heartbeats, loans and documents.
-    pub control: control::Clients,
     /// Told whenever a document is put in force.
     pub installed: Notify,
     /// Where a document newer than the one in force was heard of.
-    pub newer: watch::Sender<control::Source>,
+    pub newer: watch::Sender<Newer>,
     /// The last refusals.
     pub journal: Journal,
     /// Counters and gauges.
@@ -110,20 +106,11 @@
 
 impl Board {
     /// Makes the blackboard of a daemon that is about to start.
-    pub fn new(settings: Settings, incarnation: u64, claims: claims::Writer) -> Self {
-        let clock = Clock::start();
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let http = HttpClient::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIME)
-            .retry_canceled_requests(false)
-            .build(connector);
+    pub fn new(settings: Settings, clock: Clock, incarnation: u64) -> Self {
         let policy = Policy::empty();
         let longest_wait = Duration::from_millis(policy.limits.queue_ms);
         Self {
             clock,
-            fleet: FleetKeys::derive(&settings.fleet.secrets),
             policy: ArcSwap::from_pointee(policy),
             document: ArcSwapOption::empty(),
             tables: ArcSwap::default(),
@@ -132,10 +119,6 @@
             backend: ArcSwapOption::empty(),
             gate: Arc::new(Gate::new(clock, longest_wait)),
             live: LiveTable::default(),
-            platform: platform::Client::new(&settings.platform, clock),
-            http,
-            claims,
-            control: control::Clients::default(),
             installed: Notify::new(),
             newer: watch::Sender::default(),
             journal: Journal::default(),
@@ -229,11 +212,9 @@
         self.publish_self();
     }
 
-    /// Whether nothing is in flight and every known outcome is in the table.
+    /// Whether nothing is in flight.
     pub fn is_idle(&self) -> bool {
-        self.in_flight.load(Ordering::Acquire) == 0
-            && self.live.is_empty()
-            && self.claims.unsettled() == 0
+        self.in_flight.load(Ordering::Acquire) == 0 && self.live.is_empty()
     }
 
     /// Whether a planned stop has begun.
@@ -289,6 +270,14 @@
         (since != u64::MAX).then(|| self.clock.now().since(Time::from_micros(since)))
     }
 
+    /// Lends another VM a token of this VM's share of a customer's rate, if there is one.
+    pub fn lend(&self, customer: &str) -> bool {
+        let id = self.policy.load().customer_id(customer);
+        let tables = self.tables.load();
+        let share = id.and_then(|id| tables.shares.get(&id));
+        share.is_some_and(|share| share.holding().lend(self.clock.now()))
+    }
+
     /// Learns from an answer: where the route leads, and how much those services refuse.
     pub fn learn(&self, route: &Route, customer: Option<CustomerId>, reach: &[Reach]) {
         let tables = self.tables.load();
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -8,7 +8,7 @@
 
 use crate::envelope::Token;
 use crate::key::Digest;
-use crate::platform::{Row, Transaction};
+use crate::store::{Row, Transaction};
 
 /// The prefix of claims in the table.
 pub const PREFIX: &str = "claim/";
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -7,23 +7,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-
 use crate::board::Board;
-use crate::control;
-use crate::document::{CustomerId, Document, Policy};
-use crate::error::PlatformError;
+use crate::document::CustomerId;
+use crate::error::StoreError;
 use crate::keeper::{Keeper, Reading, Term, Written};
 use crate::lease::{self, Leases};
 use crate::member::{Record, State};
-use crate::platform::{Client, Commit, Row, Transaction};
-use crate::publish::{self, Body, Head};
 use crate::share::{self, Ask, Fleet, Shares};
+use crate::shared::Shared;
+use crate::store::{Client, Commit, Row, Transaction};
 use crate::tables::CustomerShare;
-use crate::time::Time;
-
-/// Mean time between two looks at the document's head.
-const DOCUMENT_PERIOD: Duration = Duration::from_millis(1_500);
+use crate::time::{Time, jitter};
 
 /// Time between two rounds of heartbeats.
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(1);
@@ -58,66 +52,15 @@
 /// The prefix of shares.
 const SHARES: &str = "share/";
 
-/// Follows the document: polls the head, and fetches from a peer what it heard of there.
-pub async fn documents(board: Arc<Board>) {
-    let mut heard = board.newer.subscribe();
-    poll_head(&board).await;
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(jitter(DOCUMENT_PERIOD)) => poll_head(&board).await,
-            _ = heard.changed() => {
-                let source = *heard.borrow_and_update();
-                fetch_from_peer(&board, source).await;
-            }
-        }
-    }
-}
-
-async fn poll_head(board: &Board) {
-    let row = match board.platform.row(publish::HEAD).await {
-        Ok(row) => row,
-        Err(error) => return note_failure(board, &error),
-    };
-    let Some(head) = row.as_ref().and_then(Row::decode::<Head>) else { return };
-    if head.version <= board.policy.load().version {
-        return;
-    }
-    match publish::fetch(&board.platform, &head).await {
-        Ok(body) => install(board, body),
-        Err(error) => tracing::warn!(event = "document-unreadable", error = %error),
-    }
-}
-
-async fn fetch_from_peer(board: &Board, source: control::Source) {
-    if source.version <= board.policy.load().version {
-        return;
-    }
-    if let Some(body) = control::fetch(board, source.control).await {
-        install(board, body);
-    }
-}
-
-fn install(board: &Board, body: Body) {
-    let document = match Document::parse(&body.sections.join(), "the document in force") {
-        Ok(document) => document,
-        Err(error) => return tracing::error!(event = "document-invalid", error = %error),
-    };
-    let policy = Policy::compile(&document, body.version, &board.policy.load());
-    let version = body.version;
-    if board.install(policy) {
-        board.document.store(Some(Arc::new(body)));
-        tracing::info!(event = "document-in-force", vm = board.settings.vm, version);
-    }
-}
-
 /// Exchanges heartbeats with a few members, and derives who takes work.
-pub async fn heartbeats(board: Arc<Board>) {
+pub async fn heartbeats(shared: Arc<Shared>) {
+    let board = &shared.board;
     let mut contacts = Contacts::default();
     loop {
         tokio::time::sleep(jitter(HEARTBEAT_PERIOD)).await;
         let (me, domain) = (&board.settings.vm, &board.settings.failure_domain);
         let partners = board.read_view(|view| view.partners(me, domain, &mut rand::rng()));
-        let beats = partners.iter().map(|partner| beat(&board, partner));
+        let beats = partners.iter().map(|partner| beat(&shared, partner));
         let answered = futures::future::join_all(beats).await;
         let now = board.clock.now();
         for (partner, answered) in partners.iter().zip(answered) {
@@ -125,15 +68,15 @@
                 contacts.heard(&partner.domain, now);
             }
         }
-        board.set_isolated(contacts.is_isolated(&board, now));
+        board.set_isolated(contacts.is_isolated(&shared, now));
         board.refresh();
     }
 }
 
-async fn beat(board: &Board, partner: &Record) -> bool {
-    let answered = control::beat(board, partner).await;
+async fn beat(shared: &Shared, partner: &Record) -> bool {
+    let answered = shared.links.beat(shared, partner).await;
     if !answered {
-        board.update_view(|view, now| view.suspect(&partner.vm, now));
+        shared.board.update_view(|view, now| view.suspect(&partner.vm, now));
     }
     answered
 }
@@ -151,11 +94,11 @@
 
     /// While every other failure domain is heard, a change that any of them learns of arrives here
     /// too. So this one is cut off only when the platform and another failure domain are silent.
-    fn is_isolated(&self, board: &Board, now: Time) -> bool {
-        if !board.platform.is_silent(now, CONTACT_TIME) {
+    fn is_isolated(&self, shared: &Shared, now: Time) -> bool {
+        if !shared.store.is_silent(now, CONTACT_TIME) {
             return false;
         }
-        let others = other_domains(board);
+        let others = other_domains(&shared.board);
         let silent = |domain: &String| {
             self.domains.get(domain).is_none_or(|heard| now.since(*heard) > CONTACT_TIME)
         };
@@ -179,20 +122,21 @@
 }
 
 /// Registers this VM in the table, and reads the members from there.
-pub async fn registration(board: Arc<Board>) {
+pub async fn registration(shared: Arc<Shared>) {
+    let board = &shared.board;
     let mut registered: Option<Record> = None;
     let mut scans = 0;
     loop {
         let record = board.record();
-        if registered.as_ref() != Some(&record) && register(&board, &record).await.is_ok() {
+        if registered.as_ref() != Some(&record) && register(&shared, &record).await.is_ok() {
             registered = Some(record);
         }
-        if scan(&board).await.is_ok() {
+        if scan(&shared).await.is_ok() {
             scans += 1;
         }
         let settled = scans >= FIRST_SCANS && registered.as_ref() == Some(&board.record());
         let period = if settled { SCAN_PERIOD } else { FIRST_SCAN_PERIOD };
-        wait_for_change(&board, registered.as_ref(), jitter(period)).await;
+        wait_for_change(board, registered.as_ref(), jitter(period)).await;
     }
 }
 
@@ -208,20 +152,21 @@
 }
 
 /// Writes this VM's row. Another daemon with the same name and a later start keeps its row.
-async fn register(board: &Board, record: &Record) -> Result<(), PlatformError> {
+async fn register(shared: &Shared, record: &Record) -> Result<(), StoreError> {
     let key = format!("{MEMBERS}{}", record.vm);
-    let row = board.platform.row(&key).await?;
+    let row = shared.store.row(&key).await?;
     let old: Option<Record> = row.as_ref().and_then(Row::decode);
     if old.is_some_and(|old| old.incarnation > record.incarnation) {
         return Ok(());
     }
     let version = row.map_or(0, |row| row.version);
     let transaction = Transaction::default().check(&key, version).put(&key, record);
-    board.platform.commit(&transaction).await.map(drop)
+    shared.store.commit(&transaction).await.map(drop)
 }
 
-async fn scan(board: &Board) -> Result<(), PlatformError> {
-    let rows = board.platform.scan(MEMBERS).await?;
+async fn scan(shared: &Shared) -> Result<(), StoreError> {
+    let board = &shared.board;
+    let rows = shared.store.scan(MEMBERS).await?.rows;
     let records: Vec<Record> = rows.iter().filter_map(Row::decode).collect();
     let me = &board.settings.vm;
     board.update_view(|view, now| {
@@ -233,13 +178,14 @@
 }
 
 /// Renews this VM's lease and moves its shares towards the demand.
-pub async fn shares(board: Arc<Board>) {
+pub async fn shares(shared: Arc<Shared>) {
+    let board = &shared.board;
     let mut known = Known::default();
     loop {
-        let moved = match round(&board, &mut known).await {
+        let moved = match round(&shared, &mut known).await {
             Ok(moved) => moved,
             Err(error) => {
-                note_failure(&board, &error);
+                note_failure(&shared, &error);
                 true
             }
         };
@@ -268,8 +214,8 @@
 }
 
 impl SharedRows {
-    async fn update(&mut self, platform: &Client) -> Result<(), PlatformError> {
-        for row in platform.changed(SHARES, self.newest).await? {
+    async fn update(&mut self, store: &Client) -> Result<(), StoreError> {
+        for row in store.changed(SHARES, self.newest).await?.rows {
             self.newest = self.newest.max(row.version);
             self.rows.insert(row.key.clone(), row);
         }
@@ -278,58 +224,62 @@
 }
 
 /// One round: renew, read, adopt, propose. Returns whether anything is still moving.
-async fn round(board: &Board, known: &mut Known) -> Result<bool, PlatformError> {
+async fn round(shared: &Shared, known: &mut Known) -> Result<bool, StoreError> {
+    let board = &shared.board;
     let policy = board.policy.load_full();
     if policy.version == 0 || board.is_leaving() {
         return Ok(true);
     }
     let sent = board.clock.now();
-    renew(board).await?;
-    read_leases(board, known).await?;
-    known.rows.update(&board.platform).await?;
+    renew(shared).await?;
+    read_leases(shared, known).await?;
+    known.rows.update(&shared.store).await?;
     let isolation = Duration::from_secs(policy.limits.isolation_s);
     let term = Term { lease_end: sent + share::LEASE, floor_end: sent + share::LEASE + isolation };
     let mut moved = false;
-    for (id, customer) in policy.customers() {
+    for (id, customer, limit) in policy.limited() {
         let Some(share) = board.tables.load().shares.get(&id).cloned() else { continue };
         let key = format!("{SHARES}{}", customer.name);
         let row = known.rows.rows.get(&key);
         let reading = Reading { key: &key, row, leases: &known.leases, term };
         let keeper = known.keepers.entry(id).or_default();
-        moved |= follow(board, &share, reading, customer.burst, keeper).await?;
+        moved |= follow(shared, &share, reading, limit.burst, keeper).await?;
     }
     Ok(moved)
 }
 
 /// Reads all leases now and then: a lapse is noticed late rather than at the price of every round.
-async fn read_leases(board: &Board, known: &mut Known) -> Result<(), PlatformError> {
-    let now = board.clock.now();
+async fn read_leases(shared: &Shared, known: &mut Known) -> Result<(), StoreError> {
+    let now = shared.board.clock.now();
     if known.leases_read.is_some_and(|read| now.since(read) < LEASES_PERIOD) {
         return Ok(());
     }
-    known.leases.note(&board.platform.scan(lease::PREFIX).await?, board.clock.now());
+    let leases = shared.store.scan(lease::PREFIX).await?.rows;
+    known.leases.note(&leases, shared.board.clock.now());
     known.leases_read = Some(now);
     Ok(())
 }
 
-async fn renew(board: &Board) -> Result<(), PlatformError> {
+async fn renew(shared: &Shared) -> Result<(), StoreError> {
+    let board = &shared.board;
     let me = &board.settings.vm;
-    let row = board.platform.row(&lease::key(me)).await?;
+    let row = shared.store.row(&lease::key(me)).await?;
     let transaction = lease::renew(me, board.incarnation, row.as_ref());
-    match board.platform.commit(&transaction).await? {
+    match shared.store.commit(&transaction).await? {
         Commit::Done(_) => Ok(()),
-        Commit::Conflict(_) => Err(PlatformError::Refused("the lease was taken".to_owned())),
+        Commit::Conflict(_) => Err(StoreError::Refused("the lease was taken".to_owned())),
     }
 }
 
 /// Adopts one share and moves it towards its target.
 async fn follow(
-    board: &Board,
+    shared: &Shared,
     share: &CustomerShare,
     reading: Reading<'_>,
     burst: f64,
     keeper: &mut Keeper,
-) -> Result<bool, PlatformError> {
+) -> Result<bool, StoreError> {
+    let board = &shared.board;
     let me = &board.settings.vm;
     let now = board.clock.now();
     let current: Shares = reading.row.and_then(Row::decode).unwrap_or_default();
@@ -348,7 +298,7 @@
         keeper.propose(&mut holding, reading, &ask, now)
     };
     let Some(proposal) = proposal else { return Ok(false) };
-    let result = board.platform.commit(&proposal.transaction).await;
+    let result = shared.store.commit(&proposal.transaction).await;
     let written = match result {
         Ok(Commit::Done(_)) => Written::Done,
         Ok(Commit::Conflict(_)) => Written::Conflict,
@@ -371,20 +321,21 @@
 /// # Errors
 ///
 /// Returns a platform error when the table cannot be written; the shares then lapse.
-pub async fn hand_back(board: &Board) -> Result<(), PlatformError> {
+pub async fn hand_back(shared: &Shared) -> Result<(), StoreError> {
+    let board = &shared.board;
     let me = &board.settings.vm;
     let now = board.clock.now();
     for share in board.tables.load().shares.values() {
         share.holding().shrink(0, now);
     }
-    for row in board.platform.scan(SHARES).await? {
-        hand_back_row(&board.platform, me, row).await?;
+    for row in shared.store.scan(SHARES).await?.rows {
+        hand_back_row(&shared.store, me, row).await?;
     }
     let key = format!("{MEMBERS}{me}");
-    board.platform.commit(&Transaction::default().delete(&key)).await.map(drop)
+    shared.store.commit(&Transaction::default().delete(&key)).await.map(drop)
 }
 
-async fn hand_back_row(platform: &Client, me: &str, mut row: Row) -> Result<(), PlatformError> {
+async fn hand_back_row(store: &Client, me: &str, mut row: Row) -> Result<(), StoreError> {
     loop {
         let Some(shares) = row.decode::<Shares>() else { return Ok(()) };
         if !shares.owners.contains_key(me) {
@@ -392,20 +343,16 @@
         }
         let next = shares.without(me);
         let transaction = Transaction::default().check(&row.key, row.version).put(&row.key, &next);
-        if let Commit::Done(_) = platform.commit(&transaction).await? {
+        if let Commit::Done(_) = store.commit(&transaction).await? {
             return Ok(());
         }
-        let Some(newer) = platform.row(&row.key).await? else { return Ok(()) };
+        let Some(newer) = store.row(&row.key).await? else { return Ok(()) };
         row = newer;
     }
 }
 
-fn note_failure(board: &Board, error: &PlatformError) {
+fn note_failure(shared: &Shared, error: &StoreError) {
+    let board = &shared.board;
     board.metrics.platform_failures.inc();
     tracing::debug!(event = "platform-failed", vm = board.settings.vm, error = %error);
 }
-
-/// A time near `period`, so that daemons do not act in step.
-fn jitter(period: Duration) -> Duration {
-    period.mul_f64(rand::rng().random_range(0.8..1.2))
-}
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -167,6 +167,10 @@
                 let remedy = format!("set it between 1 and {LONGEST_DEADLINE_MS}");
                 return Err(self.fail(route, key, problem, &remedy));
             }
+            if spec.objective_ms.is_some_and(|ms| !(1..=spec.deadline_ms).contains(&ms)) {
+                let problem = "objective_ms is 0 or above deadline_ms".to_owned();
+                return Err(self.fail(route, key, problem, "set it between 1 and deadline_ms"));
+            }
             if spec.retries > MOST_RETRIES {
                 let problem = format!("retries is {}", spec.retries);
                 let remedy = format!("set it to {MOST_RETRIES} or less");
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -12,14 +12,26 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use toml::Spanned;
 
 pub use self::explain::explain;
-pub use self::policy::{Customer, CustomerId, Policy, Route, RouteId, Service, ServiceId};
+pub use self::policy::{
+    Customer, CustomerId, Draft, Limit, Policy, Route, RouteId, Service, ServiceId, Target,
+};
 pub use self::sections::{SECTIONS, Section, Sections, difference};
 use crate::error::Result;
 
+/// One version of a document as it was written, whatever its format.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Text {
+    /// The version.
+    pub version: u64,
+    /// What was written.
+    pub bytes: Bytes,
+}
+
 /// The whole document, as operators write it.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -88,6 +100,10 @@
     pub open: bool,
     /// The whole time that a request has, in milliseconds.
     pub deadline_ms: u64,
+    /// Within which time an answer is worth most to its caller, in milliseconds; the whole deadline
+    /// when left out.
+    #[serde(default)]
+    pub objective_ms: Option<u64>,
     /// Retries over the whole call tree of one request.
     #[serde(default = "default_retries")]
     pub retries: u32,
--- a/src/document/policy.rs
+++ b/src/document/policy.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use rand::Rng;
+
 use super::{Document, Importance, LimitSpec};
 use crate::key::Digest;
 
@@ -40,14 +42,25 @@
 pub struct Customer {
     /// Its name in the document.
     pub name: String,
-    /// Requests a second over the fleet; zero once the customer is no longer in the document.
-    pub rate: f64,
-    /// Requests at once over the fleet.
-    pub burst: f64,
+    /// Its rate and burst over the fleet; `None` when it has no limit.
+    pub limit: Option<Limit>,
     /// Weight in a queue.
     pub weight: u32,
+    /// Its rank between customers; the lowest is shed last.
+    pub rank: u8,
     /// Whether a failure domain that is cut off refuses it at once.
     pub refuse_isolated: bool,
+    /// Whether the document in force has it.
+    pub granted: bool,
+}
+
+/// A rate and a burst over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once.
+    pub burst: f64,
 }
 
 /// A route, ready for the path of a request.
@@ -55,12 +68,14 @@
 pub struct Route {
     /// Its name in the document.
     pub name: String,
+    /// The host that it belongs to; `None` matches every host.
+    pub host: Option<String>,
     /// The path prefix.
     pub path: String,
     /// The methods; all when empty.
     pub methods: BTreeSet<String>,
-    /// The service that runs it.
-    pub service: ServiceId,
+    /// The services that run it, each with the weight of its part; seldom more than one.
+    pub targets: Vec<Target>,
     /// How important it is.
     pub importance: Importance,
     /// Whether it may run twice.
@@ -69,10 +84,44 @@
     pub open: bool,
     /// The whole time that a request has.
     pub deadline: Duration,
+    /// Within which time an answer is worth most to its caller.
+    pub objective: Duration,
+    /// Instances that one call may be sent to.
+    pub attempts: u32,
     /// Retries over the call tree.
     pub retries: u32,
 }
 
+impl Route {
+    /// Draws the service that runs one request, in proportion to the weights.
+    pub fn target(&self, rng: &mut impl Rng) -> Option<ServiceId> {
+        if let [only] = self.targets.as_slice() {
+            return Some(only.service);
+        }
+        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut at = rng.random_range(0..total);
+        for target in &self.targets {
+            if at < target.weight {
+                return Some(target.service);
+            }
+            at -= target.weight;
+        }
+        None
+    }
+}
+
+/// A service that runs a part of a route's requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target {
+    /// The service.
+    pub service: ServiceId,
+    /// Its part, beside the weights of the other targets.
+    pub weight: u32,
+}
+
 /// A service, ready for the path of a request.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -86,6 +135,21 @@
     pub ramp: Duration,
 }
 
+/// What a document says, before it is compiled: names instead of arena keys.
+#[derive(Debug, Clone, Default)]
+pub struct Draft {
+    /// Bounds that hold for the whole system.
+    pub limits: LimitSpec,
+    /// Failure domains of the fleet.
+    pub domains: BTreeSet<String>,
+    /// All services.
+    pub services: Vec<Service>,
+    /// All customers, each with the digests of its keys.
+    pub customers: Vec<(Customer, Vec<Digest>)>,
+    /// All routes, each with the names and weights of the services that run it.
+    pub routes: Vec<(Route, Vec<(String, u32)>)>,
+}
+
 /// A whole document, compiled. It is replaced as one, so that a request sees one version only.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -98,11 +162,16 @@
     customers: Vec<Customer>,
     services: Vec<Service>,
     routes: Vec<Route>,
+    hosts: BTreeMap<String, Paths>,
+    any_host: Paths,
     keys: BTreeMap<Digest, CustomerId>,
     customer_names: BTreeMap<String, CustomerId>,
     service_names: BTreeMap<String, ServiceId>,
 }
 
+/// Routes by their path prefixes.
+type Paths = BTreeMap<String, Vec<RouteId>>;
+
 impl Policy {
     /// The policy before the first document: it knows no route and no key.
     pub fn empty() -> Self {
@@ -113,6 +182,8 @@
             customers: Vec::new(),
             services: Vec::new(),
             routes: Vec::new(),
+            hosts: BTreeMap::new(),
+            any_host: BTreeMap::new(),
             keys: BTreeMap::new(),
             customer_names: BTreeMap::new(),
             service_names: BTreeMap::new(),
@@ -121,81 +192,68 @@
 
     /// Compiles `document` as `version`, keeping the arena keys that `previous` gave out.
     pub fn compile(document: &Document, version: u64, previous: &Self) -> Self {
+        Self::build(Draft::from(document), version, previous)
+    }
+
+    /// Compiles `draft` as `version`, keeping the arena keys that `previous` gave out.
+    pub fn build(draft: Draft, version: u64, previous: &Self) -> Self {
         let mut policy = Self {
             version,
-            limits: document.limits.clone(),
-            domains: document.failure_domains.keys().cloned().collect(),
+            limits: draft.limits,
+            domains: draft.domains,
             routes: Vec::new(),
+            hosts: BTreeMap::new(),
+            any_host: BTreeMap::new(),
             keys: BTreeMap::new(),
             ..previous.clone()
         };
-        policy.compile_services(document);
-        policy.compile_customers(document);
-        policy.compile_routes(document);
+        policy.add_services(draft.services);
+        policy.add_customers(draft.customers);
+        policy.add_routes(draft.routes);
         policy
     }
 
-    fn compile_services(&mut self, document: &Document) {
-        for (name, spec) in &document.services {
-            let spec = spec.get_ref();
-            let service = Service {
-                name: name.clone(),
-                retry_ratio: spec.retry_ratio,
-                retired: spec.retired.iter().cloned().collect(),
-                ramp: Duration::from_secs(spec.ramp_s),
-            };
-            match self.service_names.get(name) {
-                Some(id) => self.services[id.index()] = service,
-                None => {
-                    self.service_names.insert(name.clone(), ServiceId(self.services.len() as u32));
-                    self.services.push(service);
-                }
+    fn add_services(&mut self, services: Vec<Service>) {
+        for service in services {
+            let next = ServiceId(self.services.len() as u32);
+            let id = *self.service_names.entry(service.name.clone()).or_insert(next);
+            match self.services.get_mut(id.index()) {
+                Some(place) => *place = service,
+                None => self.services.push(service),
             }
         }
     }
 
-    fn compile_customers(&mut self, document: &Document) {
+    fn add_customers(&mut self, customers: Vec<(Customer, Vec<Digest>)>) {
         for customer in &mut self.customers {
-            customer.rate = 0.0;
-            customer.burst = 0.0;
+            customer.granted = false;
         }
-        for (name, spec) in &document.customers {
-            let spec = spec.get_ref();
-            let customer = Customer {
-                name: name.clone(),
-                rate: spec.rate,
-                burst: spec.burst,
-                weight: spec.weight,
-                refuse_isolated: spec.refuse_isolated,
-            };
+        for (customer, digests) in customers {
             let next = CustomerId(self.customers.len() as u32);
-            let id = *self.customer_names.entry(name.clone()).or_insert(next);
+            let id = *self.customer_names.entry(customer.name.clone()).or_insert(next);
             match self.customers.get_mut(id.index()) {
                 Some(place) => *place = customer,
                 None => self.customers.push(customer),
             }
-            let digests = spec.keys.iter().filter_map(|text| Digest::parse(text.get_ref()));
-            self.keys.extend(digests.map(|digest| (digest, id)));
+            self.keys.extend(digests.into_iter().map(|digest| (digest, id)));
         }
     }
 
-    fn compile_routes(&mut self, document: &Document) {
-        for (name, spec) in &document.routes {
-            let spec = spec.get_ref();
-            let Some(&service) = self.service_names.get(&spec.service) else { continue };
-            self.routes.push(Route {
-                name: name.clone(),
-                path: spec.path.clone(),
-                methods: spec.methods.iter().cloned().collect(),
-                service,
-                importance: spec.importance,
-                idempotent: spec.idempotent,
-                open: spec.open,
-                deadline: Duration::from_millis(spec.deadline_ms),
-                retries: spec.retries,
-            });
+    fn add_routes(&mut self, routes: Vec<(Route, Vec<(String, u32)>)>) {
+        for (mut route, services) in routes {
+            let target = |(name, weight): (String, u32)| {
+                let service = self.service_id(&name)?;
+                Some(Target { service, weight })
+            };
+            route.targets = services.into_iter().filter_map(target).collect();
+            let id = RouteId(self.routes.len() as u32);
+            let paths = match &route.host {
+                Some(host) => self.hosts.entry(host.clone()).or_default(),
+                None => &mut self.any_host,
+            };
+            paths.entry(route.path.clone()).or_default().push(id);
+            self.routes.push(route);
         }
-        self.routes.sort_by_key(|route| std::cmp::Reverse(route.path.len()));
     }
 
     /// The customer that a key's digest belongs to.
@@ -203,13 +261,20 @@
         self.keys.get(digest).copied()
     }
 
-    /// The route with the longest path that matches.
-    pub fn route(&self, method: &str, path: &str) -> Option<RouteId> {
-        let matches = |route: &Route| {
-            is_below(path, &route.path)
-                && (route.methods.is_empty() || route.methods.contains(method))
+    /// The route with the longest path that matches. Routes of the host itself go before those of
+    /// every host.
+    pub fn route(&self, host: &str, method: &str, path: &str) -> Option<RouteId> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let own = self.hosts.get(host).and_then(|paths| self.longest(paths, method, path));
+        own.or_else(|| self.longest(&self.any_host, method, path))
+    }
+
+    fn longest(&self, paths: &Paths, method: &str, path: &str) -> Option<RouteId> {
+        let fits = |id: &&RouteId| {
+            let methods = &self.routes[id.index()].methods;
+            methods.is_empty() || methods.contains(method)
         };
-        self.routes.iter().position(matches).map(|index| RouteId(index as u32))
+        prefixes(path).find_map(|prefix| paths.get(prefix)?.iter().find(fits).copied())
     }
 
     /// The customer behind its key.
@@ -227,7 +292,7 @@
         &self.services[id.index()]
     }
 
-    /// All routes, those with longer paths first.
+    /// All routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
     }
@@ -252,15 +317,71 @@
         self.customers.len()
     }
 
-    /// Customers with their keys, those without a rate left out.
-    pub fn customers(&self) -> impl Iterator<Item = (CustomerId, &Customer)> {
-        let all = self.customers.iter().enumerate();
-        all.map(|(at, customer)| (CustomerId(at as u32), customer)).filter(|(_, c)| c.rate > 0.0)
+    /// Customers of the document in force that have a limit, with their keys.
+    pub fn limited(&self) -> impl Iterator<Item = (CustomerId, &Customer, Limit)> {
+        let all = self.customers.iter().enumerate().filter(|(_, customer)| customer.granted);
+        all.filter_map(|(at, customer)| Some((CustomerId(at as u32), customer, customer.limit?)))
+    }
+}
+
+impl From<&Document> for Draft {
+    fn from(document: &Document) -> Self {
+        let services = document.services.iter().map(|(name, spec)| {
+            let spec = spec.get_ref();
+            Service {
+                name: name.clone(),
+                retry_ratio: spec.retry_ratio,
+                retired: spec.retired.iter().cloned().collect(),
+                ramp: Duration::from_secs(spec.ramp_s),
+            }
+        });
+        let customers = document.customers.iter().map(|(name, spec)| {
+            let spec = spec.get_ref();
+            let customer = Customer {
+                name: name.clone(),
+                limit: Some(Limit { rate: spec.rate, burst: spec.burst }),
+                weight: spec.weight,
+                rank: 0,
+                refuse_isolated: spec.refuse_isolated,
+                granted: true,
+            };
+            let digests = spec.keys.iter().filter_map(|text| Digest::parse(text.get_ref()));
+            (customer, digests.collect())
+        });
+        let routes = document.routes.iter().map(|(name, spec)| {
+            let spec = spec.get_ref();
+            let deadline = Duration::from_millis(spec.deadline_ms);
+            let route = Route {
+                name: name.clone(),
+                host: None,
+                path: spec.path.clone(),
+                methods: spec.methods.iter().cloned().collect(),
+                targets: Vec::new(),
+                importance: spec.importance,
+                idempotent: spec.idempotent,
+                open: spec.open,
+                deadline,
+                objective: spec.objective_ms.map_or(deadline, Duration::from_millis),
+                attempts: spec.retries + 1,
+                retries: spec.retries,
+            };
+            (route, vec![(spec.service.clone(), 1)])
+        });
+        Self {
+            limits: document.limits.clone(),
+            domains: document.failure_domains.keys().cloned().collect(),
+            services: services.collect(),
+            customers: customers.collect(),
+            routes: routes.collect(),
+        }
     }
 }
 
-/// Whether `path` is `prefix` or stands below it, by whole segments.
-fn is_below(path: &str, prefix: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else { return false };
-    rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+/// The prefixes of `path` that may stand in a route, the longest first: the path itself, and what ends
+/// before or behind one of its slashes.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let ends =
+        path.char_indices().rev().filter(|(_, c)| *c == '/').flat_map(|(at, _)| [at + 1, at]);
+    let whole = std::iter::once(path.len());
+    whole.chain(ends.filter(move |end| *end < path.len())).map(|end| &path[..end])
 }
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -4,69 +4,77 @@
 
 use hyper::body::Incoming;
 
-use crate::board::Board;
 use crate::claims;
 use crate::document::{Policy, Route};
-use crate::envelope::RequestId;
-use crate::envelope::{Envelope, Token};
+use crate::envelope::{Envelope, RequestId, Token};
 use crate::forward::{self, Call};
 use crate::live::Live;
 use crate::message::{self, Answer, Message, Response};
 use crate::reason::Reason;
+use crate::shared::Shared;
 use crate::tables::ServiceState;
 
 /// Answers one call of the local backend server.
-pub async fn handle(board: Arc<Board>, request: http::Request<Incoming>) -> Response {
+pub async fn handle(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response {
+    let board = &shared.board;
+    let dialect = &shared.dialect;
     let (parts, body) = request.into_parts();
-    let token = parts.headers.get(message::TOKEN);
+    let token = dialect.token.as_ref().and_then(|name| parts.headers.get(name));
     let token = token.and_then(|value| value.to_str().ok()).and_then(Token::parse);
     let live = token.and_then(|token| board.live.get(token));
     let policy = board.policy.load_full();
     let path = parts.uri.path();
-    let route = policy.route(parts.method.as_str(), path).map(|id| policy.route_at(id));
+    let host = message::host_of(&parts.headers);
+    let route = policy.route(host, parts.method.as_str(), path).map(|id| policy.route_at(id));
     let Some(live) = live else {
-        return without_token(board, parts, body, route.is_some_and(|route| route.open)).await;
+        let open = route.is_some_and(|route| route.open);
+        return without_token(Arc::clone(&shared), parts, body, open).await;
     };
-    let request = live.envelope.request;
+    let request = live.envelope.request.clone();
     let Some(route) = route else {
         let path = path.chars().take(100).collect();
-        return Answer::not_run(request, Reason::UnknownRoute { path }).into_response();
+        return Answer::not_run(request, Reason::UnknownRoute { path }).into_response(dialect);
     };
     let body = match message::collect(body, policy.limits.request_bytes).await {
         Ok(body) => body,
         Err(problem) => {
-            return Answer::not_run(request, Reason::BadRequest { problem }).into_response();
+            return Answer::not_run(request, Reason::BadRequest { problem }).into_response(dialect);
         }
     };
     let mut headers = parts.headers;
-    message::pass_on(&mut headers);
+    message::pass_on(&mut headers, &shared.private);
     let message = Message { method: parts.method, uri: parts.uri, headers, body };
-    call_on(&board, &policy, route, &live, message).await.into_response()
+    call_on(&shared, &policy, route, &live, message).await.into_response(dialect)
 }
 
 /// Routes open to all need no live request; such a call enters like a caller's.
 async fn without_token(
-    board: Arc<Board>,
+    shared: Arc<Shared>,
     parts: http::request::Parts,
     body: Incoming,
     open: bool,
 ) -> Response {
     if open {
-        return crate::entry::handle(board, http::Request::from_parts(parts, body)).await;
+        return crate::entry::handle(shared, http::Request::from_parts(parts, body)).await;
     }
     let request = RequestId::random(&mut rand::rng());
-    Answer::not_run(request, Reason::UnknownToken).into_response()
+    Answer::not_run(request, Reason::UnknownToken).into_response(&shared.dialect)
 }
 
 async fn call_on(
-    board: &Arc<Board>,
+    shared: &Arc<Shared>,
     policy: &Policy,
     route: &Route,
     live: &Arc<Live>,
     message: Message,
 ) -> Answer {
+    let board = &shared.board;
     let parent = &live.envelope;
-    let service = &policy.service(route.service).name;
+    let Some(target) = route.target(&mut rand::rng()) else {
+        let reason = Reason::NoInstance { service: route.name.clone(), known: 0 };
+        return Answer::not_run(parent.request.clone(), reason);
+    };
+    let service = &policy.service(target).name;
     let _waiting = board.tables.load().services.get(service).map(ServiceState::wait);
     let now = board.clock.now();
     let deadline = live.deadline.min(now + route.deadline);
@@ -78,15 +86,16 @@
             ..parent.clone()
         },
         message,
-        service: route.service,
+        service: target,
         idempotent: route.idempotent,
         deadline,
     };
     // Below a claimed request this runs once because its caller does; elsewhere it needs a claim.
-    let answer = if route.idempotent || parent.claimed {
-        forward::send(board, &call, &live.ledger).await
-    } else {
-        claims::send_once(board, call, Arc::clone(&live.ledger)).await
+    let answer = match &shared.dialect.operation {
+        Some(operation) if !route.idempotent && !parent.claimed => {
+            claims::send_once(shared, operation, call, Arc::clone(&live.ledger)).await
+        }
+        _ => forward::send(shared, &call, &live.ledger).await,
     };
     live.reached(&answer.report.reach);
     board.learn_below(&parent.route, &answer.report.reach);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,7 @@
 
 use crate::board::{Board, InFlight};
 use crate::claims;
-use crate::control;
+use crate::dialect::Dialect;
 use crate::document::{CustomerId, Policy, Route};
 use crate::envelope::{Envelope, RequestId};
 use crate::forward::{self, Call};
@@ -21,6 +21,7 @@
 use crate::metrics::RequestLabels;
 use crate::reason::{Outcome, Reason};
 use crate::retry::Ledger;
+use crate::shared::Shared;
 use crate::tables::CustomerShare;
 use crate::time::Time;
 
@@ -28,24 +29,40 @@
 const PATH_SHOWN: usize = 100;
 
 /// Answers one request of a caller.
-pub async fn handle(board: Arc<Board>, request: http::Request<Incoming>) -> Response {
-    let _in_flight = InFlight::count(&board);
+pub async fn handle(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response {
+    let board = &shared.board;
+    let _in_flight = InFlight::count(board);
     let start = board.clock.now();
-    let id = RequestId::random(&mut rand::rng());
+    let id = name_of(&shared.dialect, request.headers());
     let policy = board.policy.load_full();
-    let mut visit = Visit { id, start, route: None, customer: None, passed: 1.0 };
-    let answer = match admit(&board, &policy, &mut visit, request).await {
-        Ok(message) => pass(&board, &policy, &visit, message).await,
-        Err(reason) => Answer::not_run(id, reason),
+    let left = time_left(&shared.dialect, request.headers());
+    let deadline = left.map_or(Time::MAX, |left| start + left);
+    let mut visit = Visit { id, start, deadline, route: None, customer: None, passed: 1.0 };
+    let answer = match admit(&shared, &policy, &mut visit, request).await {
+        Ok(message) => pass(&shared, &policy, &visit, message).await,
+        Err(reason) => Answer::not_run(visit.id.clone(), reason),
     };
-    conclude(&board, &policy, &visit, &answer);
-    answer.into_response()
+    conclude(board, &policy, &visit, &answer);
+    answer.into_response(&shared.dialect)
+}
+
+/// The name that the caller gave its request, or a new one.
+fn name_of(dialect: &Dialect, headers: &HeaderMap) -> RequestId {
+    let given = headers.get(&dialect.request).filter(|_| dialect.named);
+    given.and_then(RequestId::given).unwrap_or_else(|| RequestId::random(&mut rand::rng()))
+}
+
+/// How long the caller will wait, if it says so.
+fn time_left(dialect: &Dialect, headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(&dialect.deadline)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
 }
 
 /// What is known about a request while it enters.
 struct Visit<'a> {
     id: RequestId,
     start: Time,
+    deadline: Time,
     route: Option<&'a Route>,
     customer: Option<CustomerId>,
     passed: f32,
@@ -53,7 +70,7 @@
 
 /// Decides whether a request enters, and reads all of it.
 async fn admit<'a>(
-    board: &Board,
+    shared: &Shared,
     policy: &'a Policy,
     visit: &mut Visit<'a>,
     request: http::Request<Incoming>,
@@ -61,32 +78,37 @@
     if policy.version == 0 {
         return Err(Reason::NoDocument);
     }
+    let board = &shared.board;
     let (parts, body) = request.into_parts();
     let path = parts.uri.path();
-    let Some(route) = policy.route(parts.method.as_str(), path) else {
+    let host = message::host_of(&parts.headers);
+    let Some(route) = policy.route(host, parts.method.as_str(), path) else {
         return Err(Reason::UnknownRoute { path: path.chars().take(PATH_SHOWN).collect() });
     };
     let route = policy.route_at(route);
     visit.route = Some(route);
-    visit.customer = identify(policy, route, &parts.headers)?;
+    visit.deadline = visit.deadline.min(visit.start + route.deadline);
+    visit.customer = identify(&shared.dialect, policy, route, &parts.headers)?;
     if let Some(customer) = visit.customer {
         check_isolation(board, policy, customer)?;
     }
     visit.passed = pass_levels(board, route, visit.customer)?;
     let limit = policy.limits.request_bytes;
-    let body = tokio::time::timeout(route.deadline, message::collect(body, limit)).await;
+    let left = visit.deadline.since(visit.start);
+    let body = tokio::time::timeout(left, message::collect(body, limit)).await;
     let body = body.unwrap_or_else(|_| Err("the body did not arrive in time".to_owned()));
     let body = body.map_err(|problem| Reason::BadRequest { problem })?;
     if let Some(customer) = visit.customer {
-        take_token(board, policy, customer).await?;
+        take_token(shared, policy, customer).await?;
     }
     let mut headers = parts.headers;
-    message::pass_on(&mut headers);
+    message::pass_on(&mut headers, &shared.private);
     Ok(Message { method: parts.method, uri: parts.uri, headers, body })
 }
 
 /// Finds the customer whose key came with the request. The key itself goes no further.
 fn identify(
+    dialect: &Dialect,
     policy: &Policy,
     route: &Route,
     headers: &HeaderMap,
@@ -95,7 +117,8 @@
         let value = headers.get(AUTHORIZATION)?.as_bytes();
         value.strip_prefix(b"Bearer ").map(<[u8]>::trim_ascii)
     };
-    let key = headers.get(message::KEY).map(HeaderValue::as_bytes).or_else(bearer);
+    let key = headers.get(&dialect.key).map(HeaderValue::as_bytes);
+    let key = key.or_else(|| if dialect.bearer { bearer() } else { None });
     let customer = key.and_then(|key| policy.authenticate(&Digest::of(key)));
     match (customer, key) {
         (Some(customer), _) => Ok(Some(customer)),
@@ -139,26 +162,29 @@
 }
 
 /// Takes a token of this VM's share, or borrows one from another owner.
-async fn take_token(board: &Board, policy: &Policy, customer: CustomerId) -> Result<(), Reason> {
+async fn take_token(shared: &Shared, policy: &Policy, customer: CustomerId) -> Result<(), Reason> {
+    let board = &shared.board;
     let share = board.tables.load().shares.get(&customer).cloned();
     let customer = policy.customer(customer);
+    let Some(limit) = customer.limit else { return Ok(()) };
     let over = |wait: Duration| Reason::OverRate {
-        rate: customer.rate,
+        rate: limit.rate,
         wait: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).clamp(1, 60_000),
     };
     let Some(share) = share else { return Err(Reason::UnknownKey) };
     let now = board.clock.now();
     let taken = share.holding().take(now);
     let Err(wait) = taken else { return Ok(()) };
-    if borrow(board, &share, &customer.name, now).await {
+    if borrow(shared, &share, &customer.name, now).await {
         board.metrics.borrowed.inc();
         return Ok(());
     }
-    let fleet_wait = Duration::from_secs_f64(1.0 / customer.rate);
+    let fleet_wait = Duration::from_secs_f64(1.0 / limit.rate);
     Err(over(wait.min(Duration::from_secs(60)).max(fleet_wait)))
 }
 
-async fn borrow(board: &Board, share: &CustomerShare, customer: &str, now: Time) -> bool {
+async fn borrow(shared: &Shared, share: &CustomerShare, customer: &str, now: Time) -> bool {
+    let board = &shared.board;
     if !share.may_borrow(now) {
         return false;
     }
@@ -169,7 +195,7 @@
         reachable.map(|member| member.record.control).collect()
     });
     for place in share.turn.places(addresses.len()) {
-        if control::borrow(board, addresses[place], customer).await {
+        if shared.links.borrow(shared, addresses[place], customer).await {
             share.turn.found(place);
             return true;
         }
@@ -180,13 +206,23 @@
 }
 
 /// Passes an admitted request to its service.
-async fn pass(board: &Arc<Board>, policy: &Policy, visit: &Visit<'_>, message: Message) -> Answer {
+async fn pass(
+    shared: &Arc<Shared>,
+    policy: &Policy,
+    visit: &Visit<'_>,
+    message: Message,
+) -> Answer {
+    let board = &shared.board;
     let Some(route) = visit.route else {
-        return Answer::not_run(visit.id, Reason::NoDocument);
+        return Answer::not_run(visit.id.clone(), Reason::NoDocument);
+    };
+    let Some(service) = route.target(&mut rand::rng()) else {
+        let reason = Reason::NoInstance { service: route.name.clone(), known: 0 };
+        return Answer::not_run(visit.id.clone(), reason);
     };
     let customer = visit.customer.map(|id| policy.customer(id).name.clone());
     let envelope = Envelope {
-        request: visit.id,
+        request: visit.id.clone(),
         customer,
         route: route.name.clone(),
         importance: route.importance,
@@ -194,24 +230,20 @@
         allowed: route.deadline.as_millis() as u64,
         allowance: 0,
         hops: 0,
-        domain: board.settings.failure_domain.clone(),
-        service: policy.service(route.service).name.clone(),
+        caller: board.backend.load().as_ref().map(|b| b.service.clone()).unwrap_or_default(),
+        service: policy.service(service).name.clone(),
         passed: visit.passed,
         suspect: false,
         claimed: !route.idempotent,
     };
-    let call = Call {
-        envelope,
-        message,
-        service: route.service,
-        idempotent: route.idempotent,
-        deadline: visit.start + route.deadline,
-    };
+    let call =
+        Call { envelope, message, service, idempotent: route.idempotent, deadline: visit.deadline };
     let ledger = Arc::new(Ledger::new(route.retries));
-    let answer = if route.idempotent {
-        forward::send(board, &call, &ledger).await
-    } else {
-        claims::send_once(board, call, ledger).await
+    let answer = match &shared.dialect.operation {
+        Some(operation) if !route.idempotent => {
+            claims::send_once(shared, operation, call, ledger).await
+        }
+        _ => forward::send(shared, &call, &ledger).await,
     };
     board.learn(route, visit.customer, &answer.report.reach);
     answer
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -1,55 +1,85 @@
 //! What daemons tell each other about a request and its answer.
 //!
-//! Both messages are signed with the fleet key, so that neither a caller nor a backend server can forge
-//! a customer, an importance or a `not-run`. docs/DESIGN.md, "Envelope", lists what was weighed.
+//! Both go over links whose ends have proved that they know the fleet key, so that neither a caller nor a
+//! backend server can forge a customer, an importance or a `not-run`. docs/DESIGN.md, "Envelope", lists
+//! what was weighed.
 
 use std::fmt;
 
+use bytes::Bytes;
+use http::HeaderValue;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::document::Importance;
 use crate::reason::{Outcome, Reason};
 
-macro_rules! random_name {
-    ($(#[$doc:meta] $name:ident),*) => {$(
-        #[$doc]
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-        pub struct $name(u128);
-
-        impl $name {
-            /// Draws a new name, unguessable when `rng` is.
-            pub fn random(rng: &mut impl Rng) -> Self {
-                Self(rng.random())
-            }
-
-            /// Reads the form that stands in headers: 32 hexadecimal digits.
-            pub fn parse(text: &str) -> Option<Self> {
-                let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-                digits.then(|| u128::from_str_radix(text, 16).ok().map(Self)).flatten()
-            }
-        }
-
-        impl $name {
-            /// The lowest bits, for dividing names between places.
-            pub const fn low_bits(self) -> usize {
-                self.0 as usize
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{:032x}", self.0)
-            }
-        }
-    )*};
+/// The longest name of a request, in bytes.
+const LONGEST_NAME: usize = 128;
+
+/// Names one request through all its hops.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestId(Bytes);
+
+impl RequestId {
+    /// Draws a new name.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(format!("{:032x}", rng.random::<u128>()).into())
+    }
+
+    /// Takes the name that a caller gave; `None` when it is empty, too long or not printable.
+    pub fn given(name: &HeaderValue) -> Option<Self> {
+        let bytes = name.as_bytes();
+        let fits = (1..=LONGEST_NAME).contains(&bytes.len()) && name.to_str().is_ok();
+        fits.then(|| Self(Bytes::copy_from_slice(bytes)))
+    }
+
+    /// Reads a name that staff typed: 16 to 64 hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        ((16..=64).contains(&text.len()) && digits)
+            .then(|| Self(Bytes::copy_from_slice(text.as_bytes())))
+    }
+
+    /// The name as a header's value.
+    pub fn to_header(&self) -> HeaderValue {
+        HeaderValue::from_maybe_shared(self.0.clone())
+            .unwrap_or_else(|_| HeaderValue::from_static("?"))
+    }
 }
 
-random_name! {
-    /// Names one request through all its hops.
-    RequestId,
-    /// Lets a backend server call on for the request that it runs; only the local daemon knows it.
-    Token
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&String::from_utf8_lossy(&self.0))
+    }
+}
+
+/// Lets a backend server call on for the request that it runs; only the local daemon knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Token(u128);
+
+impl Token {
+    /// Draws a new token, unguessable when `rng` is.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
+
+    /// Reads the form that stands in headers: 32 hexadecimal digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        digits.then(|| u128::from_str_radix(text, 16).ok().map(Self)).flatten()
+    }
+
+    /// The lowest bits, for dividing tokens between places.
+    pub const fn low_bits(self) -> usize {
+        self.0 as usize
+    }
+}
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
 }
 
 /// What goes with a request from daemon to daemon.
@@ -71,8 +101,8 @@
     pub allowance: u32,
     /// Hops behind the request; 0 on its way from the entry.
     pub hops: u32,
-    /// The failure domain at which it entered.
-    pub domain: String,
+    /// The service of the VM at which it entered; empty when none had announced itself there.
+    pub caller: String,
     /// The service that is to run it.
     pub service: String,
     /// The probability with which the entry let it pass; see [`crate::level`].
@@ -97,7 +127,7 @@
 /// What goes with an answer from daemon to daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// The request that this answers. A crossed answer does not pass.
+    /// The request that this answers.
     pub request: RequestId,
     /// Whether a backend server ran it.
     pub outcome: Outcome,
--- a/src/error.rs
+++ b/src/error.rs
@@ -40,7 +40,7 @@
         team: String,
     },
     /// The platform cannot be reached, or refused.
-    Platform(PlatformError),
+    Platform(StoreError),
     /// An address cannot be bound.
     Listen {
         /// The setting that holds the address.
@@ -89,7 +89,7 @@
 
 /// Why an exchange with the table or the object store gave no result.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The exchange failed before the platform could have acted on it.
     Unavailable(String),
     /// The exchange was sent and its answer was lost, so the write may have taken effect.
@@ -98,9 +98,18 @@
     BreakerOpen,
     /// The platform refused the exchange.
     Refused(String),
+    /// The feed no longer knows the changes that were asked for, so everything must be read again.
+    HistoryGone,
 }
 
-impl fmt::Display for PlatformError {
+impl StoreError {
+    /// Whether the store failed to answer, as against answering that it will not.
+    pub const fn is_outage(&self) -> bool {
+        matches!(self, Self::Unavailable(_) | Self::AnswerLost(_))
+    }
+}
+
+impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unavailable(problem) => {
@@ -116,6 +125,9 @@
             Self::Refused(problem) => {
                 write!(f, "the platform refused the exchange ({problem}); check its address")
             }
+            Self::HistoryGone => {
+                write!(f, "the platform no longer knows these changes; read all rows again")
+            }
         }
     }
 }
@@ -152,8 +164,8 @@
 
 impl std::error::Error for Error {}
 
-impl From<PlatformError> for Error {
-    fn from(error: PlatformError) -> Self {
+impl From<StoreError> for Error {
+    fn from(error: StoreError) -> Self {
         Self::Platform(error)
     }
 }
--- /dev/null
+++ b/src/feed.rs
@@ -0,0 +1,144 @@
+//! The document in force, followed through the store and through other daemons.
+//!
+//! One row changes whenever a document is accepted; the feed of its table tells at once. What a daemon
+//! hears of from another one, it fetches there. Only higher versions are installed, so none ever comes
+//! back. docs/DESIGN.md, "Document".
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+
+use crate::board::Newer;
+use crate::document::{Document, Policy, Text};
+use crate::error::{Error, Result, StoreError};
+use crate::publish::{self, Body, Head};
+use crate::shared::Shared;
+use crate::store::{Client, Row};
+
+/// How long the store may hold a feed without a change. Longer waits cost fewer calls; shorter ones
+/// notice sooner that a connection has gone silent.
+const FEED_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause before the feed is tried again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Fetches the text that a head row names.
+pub type Fetch = for<'a> fn(&'a Client, &'a Row) -> BoxFuture<'a, Result<Text>>;
+
+/// How documents are found in the store, and how they are read.
+#[derive(Clone, Copy)]
+pub struct Format {
+    /// The row that changes whenever a document is accepted.
+    pub head: &'static str,
+    /// Fetches the text that a head row names.
+    pub fetch: Fetch,
+    /// Checks and compiles a text.
+    pub compile: fn(&Text, &Policy) -> Result<Policy>,
+}
+
+impl Format {
+    /// The product's own documents: the head row names an object with the sections.
+    pub const OWN: Self = Self { head: publish::HEAD, fetch: fetch_sections, compile };
+
+    fn table(&self) -> &'static str {
+        self.head.split_inclusive('/').next().unwrap_or(self.head)
+    }
+}
+
+impl fmt::Debug for Format {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Format({})", self.head)
+    }
+}
+
+fn fetch_sections<'a>(store: &'a Client, row: &'a Row) -> BoxFuture<'a, Result<Text>> {
+    Box::pin(async move {
+        let damaged = || StoreError::Refused("the head row is damaged".to_owned());
+        let head: Head = row.decode().ok_or_else(damaged)?;
+        let body = publish::fetch(store, &head).await?;
+        let bytes = serde_json::to_vec(&body).map_err(|_| damaged())?.into();
+        Ok(Text { version: body.version, bytes })
+    })
+}
+
+fn compile(text: &Text, previous: &Policy) -> Result<Policy> {
+    let damaged = |error: serde_json::Error| StoreError::Refused(error.to_string());
+    let body: Body = serde_json::from_slice(&text.bytes).map_err(damaged)?;
+    let document = Document::parse(&body.sections.join(), "the document in force")?;
+    Ok(Policy::compile(&document, text.version, previous))
+}
+
+/// Follows the document until the daemon ends.
+pub async fn run(shared: Arc<Shared>) {
+    tokio::join!(follow_store(&shared), follow_peers(&shared));
+}
+
+async fn follow_store(shared: &Shared) {
+    let mut after = None;
+    loop {
+        if let Err(error) = step(shared, &mut after).await {
+            note_failure(shared, &error);
+            tokio::time::sleep(crate::time::jitter(RETRY_PAUSE)).await;
+        }
+    }
+}
+
+/// Reads the head when nothing is known yet, and otherwise waits for its change.
+async fn step(shared: &Shared, after: &mut Option<u64>) -> Result<()> {
+    let format = shared.format;
+    let rows = match *after {
+        None => shared.store.scan(format.head).await?,
+        Some(version) => match shared.store.feed(format.table(), version, FEED_WAIT).await {
+            Err(StoreError::HistoryGone) => shared.store.scan(format.head).await?,
+            other => other?,
+        },
+    };
+    if let Some(row) = rows.rows.iter().rev().find(|row| row.key == format.head) {
+        match (format.fetch)(&shared.store, row).await {
+            Ok(text) => install(shared, text),
+            Err(error @ Error::Platform(_)) => return Err(error),
+            Err(error) => tracing::warn!(event = "document-unreadable", row = row.version, %error),
+        }
+    }
+    *after = Some(rows.version);
+    Ok(())
+}
+
+async fn follow_peers(shared: &Shared) {
+    let mut heard = shared.board.newer.subscribe();
+    while heard.changed().await.is_ok() {
+        let Newer { version, control } = *heard.borrow_and_update();
+        if version <= shared.board.policy.load().version {
+            continue;
+        }
+        if let Some(text) = shared.links.document(shared, control).await {
+            install(shared, text);
+        }
+    }
+}
+
+fn install(shared: &Shared, text: Text) {
+    let board = &shared.board;
+    if text.version <= board.policy.load().version {
+        return;
+    }
+    let policy = match (shared.format.compile)(&text, &board.policy.load()) {
+        Ok(policy) => policy,
+        Err(error) => {
+            let version = text.version;
+            return tracing::error!(event = "document-rejected", version, %error);
+        }
+    };
+    let version = text.version;
+    if board.install(policy) {
+        board.document.store(Some(Arc::new(text)));
+        tracing::info!(event = "document-in-force", vm = board.settings.vm, version);
+    }
+}
+
+fn note_failure(shared: &Shared, error: &Error) {
+    shared.board.metrics.platform_failures.inc();
+    tracing::debug!(event = "platform-failed", vm = shared.board.settings.vm, %error);
+}
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -73,7 +73,7 @@
     }
 
     /// Everything that is known about one request, the oldest first.
-    pub fn find(&self, request: RequestId) -> Vec<Entry> {
+    pub fn find(&self, request: &RequestId) -> Vec<Entry> {
         let wanted = request.to_string();
         let entries = lock(&self.entries);
         entries.iter().filter(|entry| entry.request == wanted).cloned().collect()
--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -4,8 +4,8 @@
 //! answers. docs/DESIGN.md, "Rates and bursts".
 
 use crate::lease::{self, Leases};
-use crate::platform::{Row, Transaction};
 use crate::share::{Ask, Holding, Shares};
+use crate::store::{Row, Transaction};
 use crate::time::Time;
 
 /// Until when a share is good, if it is not renewed.
--- a/src/key.rs
+++ b/src/key.rs
@@ -5,7 +5,7 @@
 
 use std::fmt;
 
-use serde::de::DeserializeOwned;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 /// What stands before the hexadecimal digits of a digest in the document.
@@ -34,14 +34,19 @@
     }
 }
 
-/// Bytes of a message with the code that authenticates them.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Sealed {
-    body: bytes::Bytes,
-    mac: [u8; 32],
+/// A challenge, or the proof that answers one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proof([u8; 32]);
+
+impl Proof {
+    /// Draws a challenge.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
 }
 
-/// The keys that daemons of one fleet share. Two are accepted, so that one can be rotated.
+/// The keys that daemons of one fleet share. Two are accepted, so that one can be rotated. A fleet on a
+/// network that keeps everyone else out may have none.
 #[derive(Clone)]
 pub struct FleetKeys {
     keys: Vec<[u8; 32]>,
@@ -61,40 +66,19 @@
         Self { keys: secrets.iter().map(derive).collect() }
     }
 
-    /// Encodes and signs a message.
-    pub fn seal<T: Serialize>(&self, message: &T) -> Sealed {
-        let body = postcard::to_stdvec(message).unwrap_or_default();
-        let mac = self.keys.first().map_or([0; 32], |key| mac(key, &body));
-        Sealed { body: body.into(), mac }
-    }
-
-    /// Checks and decodes a message; `None` when it is forged or malformed.
-    pub fn open<T: DeserializeOwned>(&self, sealed: &Sealed) -> Option<T> {
-        let matches = |key| blake3::Hash::from_bytes(mac(key, &sealed.body)) == sealed.mac;
-        if !self.keys.iter().any(matches) {
-            return None;
-        }
-        postcard::from_bytes(&sealed.body).ok()
-    }
-
-    /// Like [`Self::seal`], as text that fits a header.
-    pub fn seal_text<T: Serialize>(&self, message: &T) -> String {
-        use base64::Engine as _;
-        let sealed = self.seal(message);
-        let mut bytes = sealed.mac.to_vec();
-        bytes.extend_from_slice(&sealed.body);
-        base64::engine::general_purpose::URL_SAFE_NO_PAD.encode(bytes)
+    /// Proves to whoever sent `challenge` that this end knows the secret. `role` keeps one end's proof
+    /// from being sent back to it.
+    pub fn prove(&self, challenge: &Proof, role: &[u8]) -> Proof {
+        Proof(self.keys.first().map_or([0; 32], |key| mac(key, challenge, role)))
     }
 
-    /// Like [`Self::open`], from the text of a header.
-    pub fn open_text<T: DeserializeOwned>(&self, text: &[u8]) -> Option<T> {
-        use base64::Engine as _;
-        let bytes = base64::engine::general_purpose::URL_SAFE_NO_PAD.decode(text).ok()?;
-        let (mac, body) = bytes.split_first_chunk::<32>()?;
-        self.open(&Sealed { body: bytes::Bytes::copy_from_slice(body), mac: *mac })
+    /// Whether `proof` answers `challenge`. Without a secret every proof does.
+    pub fn proves(&self, proof: &Proof, challenge: &Proof, role: &[u8]) -> bool {
+        let fits = |key| blake3::Hash::from_bytes(mac(key, challenge, role)) == proof.0;
+        self.keys.is_empty() || self.keys.iter().any(fits)
     }
 }
 
-fn mac(key: &[u8; 32], body: &[u8]) -> [u8; 32] {
-    *blake3::keyed_hash(key, body).as_bytes()
+fn mac(key: &[u8; 32], challenge: &Proof, role: &[u8]) -> [u8; 32] {
+    *blake3::keyed_hash(key, &[&challenge.0, role].concat()).as_bytes()
 }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -8,8 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::{Row, Transaction};
 use crate::share::{LEASE, LEASE_MARGIN};
+use crate::store::{Row, Transaction};
 use crate::time::Time;
 
 /// The prefix of leases in the table.
--- a/src/message.rs
+++ b/src/message.rs
@@ -1,13 +1,13 @@
 //! HTTP messages as daemons pass them on: which headers go where, and what an answer is made of.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HOST, HeaderName, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
+use crate::codec;
+use crate::dialect::Dialect;
 use crate::envelope::{Report, RequestId};
 use crate::reason::{Outcome, Reason};
 
@@ -27,58 +27,39 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 /// The caller's name for one operation.
 pub const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
-/// The signed envelope, between daemons only.
-pub const ENVELOPE: HeaderName = HeaderName::from_static("x-gypsumtack-envelope");
-/// The signed report, between daemons only.
-pub const REPORT: HeaderName = HeaderName::from_static("x-gypsumtack-report");
-
-/// Headers that concern one connection, and headers that only a daemon may set or see.
-const DROPPED: [&str; 18] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "authorization",
-    "x-api-key",
-    "x-request-token",
-    "x-request-id",
-    "x-outcome",
-    "x-reason",
-    "x-reason-detail",
-    "x-gypsumtack-envelope",
-    "x-gypsumtack-report",
-];
-
 /// A whole request, as it is passed on.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Message {
     /// The method.
+    #[serde(with = "codec::method")]
     pub method: Method,
     /// Path and query.
+    #[serde(with = "codec::uri")]
     pub uri: Uri,
     /// Headers, those of one connection and of daemons removed.
+    #[serde(with = "codec::headers")]
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
 
 impl Message {
-    /// A request for hyper, to `uri`, with `extra` headers.
-    pub fn to_request(&self, uri: Uri, extra: &[(HeaderName, HeaderValue)]) -> Request {
-        let mut request = http::Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = uri;
-        *request.headers_mut() = self.headers.clone();
+    /// The request for a connection to the backend server, with `extra` headers.
+    pub fn into_request(self, extra: Vec<(HeaderName, HeaderValue)>) -> Request {
+        let mut request = http::Request::new(Full::new(self.body));
+        *request.method_mut() = self.method;
+        *request.uri_mut() = self.uri;
+        *request.headers_mut() = self.headers;
         for (name, value) in extra {
-            request.headers_mut().insert(name, value.clone());
+            request.headers_mut().insert(name, value);
         }
         request
     }
+
+    /// The host that the request names.
+    pub fn host(&self) -> &str {
+        host_of(&self.headers)
+    }
 }
 
 /// A request whose whole body is in memory.
@@ -88,11 +69,13 @@
 pub type Response = http::Response<Full<Bytes>>;
 
 /// A whole answer with what the daemons know about it.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Answer {
     /// The status.
+    #[serde(with = "codec::status")]
     pub status: StatusCode,
     /// Headers, those of one connection and of daemons removed.
+    #[serde(with = "codec::headers")]
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
@@ -126,15 +109,19 @@
     }
 
     /// The response for the caller or for the backend server that called on.
-    pub fn into_response(self) -> Response {
+    pub fn into_response(self, dialect: &Dialect) -> Response {
         let mut headers = self.headers;
-        headers.insert(REQUEST, ascii(&self.report.request.to_string()));
-        headers.insert(OUTCOME, HeaderValue::from_static(self.report.outcome.as_str()));
+        headers.insert(dialect.request.clone(), self.report.request.to_header());
+        if dialect.explains {
+            headers.insert(OUTCOME, HeaderValue::from_static(self.report.outcome.as_str()));
+        }
         if let Some(reason) = &self.report.reason {
             headers.insert(REASON, HeaderValue::from_static(reason.code()));
-            headers.insert(DETAIL, ascii(&reason.to_string()));
+            if dialect.explains {
+                headers.insert(DETAIL, ascii(&reason.to_string()));
+            }
             if let Some(span) = reason.retry_after() {
-                headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(span)));
+                headers.insert(RETRY_AFTER, dialect.retry_after(span));
             }
         }
         let mut response = http::Response::new(Full::new(self.body));
@@ -155,8 +142,13 @@
     retry_after_ms: Option<u64>,
 }
 
-/// Removes headers that concern one connection, and those that only a daemon may set or see.
-pub fn pass_on(headers: &mut HeaderMap) {
+/// The host that a request names; empty when it names none.
+pub fn host_of(headers: &HeaderMap) -> &str {
+    headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
+
+/// Removes headers that concern one connection, and the `private` ones of the dialect.
+pub fn pass_on(headers: &mut HeaderMap, private: &[HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(http::header::CONNECTION)
         .iter()
@@ -164,14 +156,9 @@
         .flat_map(|text| text.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in DROPPED {
+    for name in named.iter().chain(private) {
         headers.remove(name);
     }
-    headers.remove(CONTENT_LENGTH);
-    headers.remove(HOST);
 }
 
 /// Collects a whole body of at most `limit` bytes.
@@ -201,10 +188,6 @@
     HeaderValue::try_from(clean).unwrap_or_else(|_| HeaderValue::from_static("?"))
 }
 
-fn whole_seconds(span: Duration) -> u64 {
-    span.as_millis().div_ceil(1_000).max(1).try_into().unwrap_or(u64::MAX)
-}
-
 /// Whether a failed exchange had not sent a byte of its request.
 pub fn is_unsent(error: &hyper_util::client::legacy::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -13,10 +13,11 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::route::{get, post};
 
-use crate::board::{BackendServer, Board};
+use crate::board::BackendServer;
 use crate::envelope::{Load, RequestId};
 use crate::journal::Entry;
 use crate::member::Record;
+use crate::shared::Shared;
 
 /// The largest announcement, in bytes.
 const LARGEST_ANNOUNCEMENT: usize = 4 << 10;
@@ -55,12 +56,12 @@
 ///
 /// Returns an error when the listener cannot be used.
 pub fn open(
-    board: Arc<Board>,
+    shared: Arc<Shared>,
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
 ) -> std::io::Result<impl Future<Output = ()> + Send + 'static> {
     let mut server = App::new()
-        .with_state(board)
+        .with_state(shared)
         .at("/announce", post(handler_service(announce)))
         .at("/metrics", get(handler_service(metrics)))
         .at("/status", get(handler_service(status)))
@@ -80,7 +81,7 @@
 }
 
 async fn announce(
-    StateRef(board): StateRef<'_, Board>,
+    StateRef(shared): StateRef<'_, Shared>,
     (body, _): (Vec<u8>, Limit<LARGEST_ANNOUNCEMENT>),
 ) -> WebResponse {
     let backend: BackendServer = match serde_json::from_slice(&body) {
@@ -97,31 +98,33 @@
         let problem = "slots must be 1 or more and service must not be empty\n";
         return text(StatusCode::BAD_REQUEST, problem.to_owned());
     }
-    board.announce(backend);
+    shared.board.announce(backend);
     text(StatusCode::OK, "ok\n".to_owned())
 }
 
-async fn metrics(StateRef(board): StateRef<'_, Board>) -> WebResponse {
+async fn metrics(StateRef(shared): StateRef<'_, Shared>) -> WebResponse {
+    let board = &shared.board;
     let load = board.gate.load();
     board.metrics.in_flight.set(i64::from(load.in_flight));
     board.metrics.queued.set(i64::from(load.queued));
     text(StatusCode::OK, board.metrics.render())
 }
 
-async fn status(StateRef(board): StateRef<'_, Board>) -> WebResponse {
-    json(&status_of(board))
+async fn status(StateRef(shared): StateRef<'_, Shared>) -> WebResponse {
+    json(&status_of(shared))
 }
 
-async fn why(StateRef(board): StateRef<'_, Board>, Params(id): Params<String>) -> WebResponse {
+async fn why(StateRef(shared): StateRef<'_, Shared>, Params(id): Params<String>) -> WebResponse {
     let Some(id) = RequestId::parse(&id) else {
         let problem = "a request's name has 32 hexadecimal digits; copy it from x-request-id\n";
         return text(StatusCode::BAD_REQUEST, problem.to_owned());
     };
-    let entries: Vec<Entry> = board.journal.find(id);
+    let entries: Vec<Entry> = shared.board.journal.find(&id);
     json(&entries)
 }
 
-fn status_of(board: &Board) -> Status {
+fn status_of(shared: &Shared) -> Status {
+    let board = &shared.board;
     let policy = board.policy.load();
     let tables = board.tables.load();
     let share =
@@ -130,7 +133,7 @@
         own: board.record(),
         version: policy.version,
         load: board.gate.load(),
-        unsettled: board.claims.unsettled(),
+        unsettled: shared.claims.unsettled(),
         isolated: board.isolated_for().map(|span| span.as_secs()),
         shares: tables.shares.iter().map(share).collect(),
         members: board.read_view(|view| view.iter().map(|m| m.record.clone()).collect()),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,38 +1,471 @@
-//! Requests from other daemons to the local backend server.
+//! What daemons say to each other, over tarpc.
+//!
+//! Requests for the local backend server, heartbeats, loans and documents go over links: connections
+//! whose two ends have proved that they know the fleet's secret. Many messages share a link, and one
+//! that goes silent is dropped as a whole. docs/DESIGN.md, "Links".
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-use hyper::body::Incoming;
+use futures::{SinkExt, StreamExt};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tarpc::{client, context};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OnceCell, watch};
 
 use crate::backend;
-use crate::board::Board;
-use crate::envelope::{Envelope, RequestId};
-use crate::message::{self, Answer, Message, Response};
-use crate::reason::Reason;
-
-/// Answers one request of another daemon.
-pub async fn handle(board: Arc<Board>, request: http::Request<Incoming>) -> Response {
-    let (parts, body) = request.into_parts();
-    let envelope: Option<Envelope> = parts
-        .headers
-        .get(message::ENVELOPE)
-        .and_then(|sealed| board.fleet.open_text(sealed.as_bytes()));
-    let Some(envelope) = envelope else {
-        let request = RequestId::random(&mut rand::rng());
-        return Answer::not_run(request, Reason::BadEnvelope).into_response();
-    };
-    let limit = board.policy.load().limits.request_bytes;
-    let answer = match message::collect(body, limit).await {
-        Ok(body) => {
-            let mut headers = parts.headers;
-            message::pass_on(&mut headers);
-            let message = Message { method: parts.method, uri: parts.uri, headers, body };
-            backend::run(&board, envelope, message).await
+use crate::board::Newer;
+use crate::codec::{self, Postcard};
+use crate::document::Text;
+use crate::envelope::Envelope;
+use crate::key::{FleetKeys, Proof};
+use crate::member::Record;
+use crate::message::{Answer, Message};
+use crate::quarantine::Rumor;
+use crate::share::LOAN_USE;
+use crate::shared::Shared;
+use crate::sync::lock;
+use crate::time::{Clock, Time};
+
+/// The largest message, in bytes: the largest body that daemons hold must fit.
+const LARGEST_MESSAGE: usize = 72 << 20;
+
+/// The longest that opening a link may take. A VM without power does not even refuse, and a request
+/// waits for this.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// The longest that a heartbeat may take.
+const HEARTBEAT_TIME: Duration = Duration::from_millis(500);
+
+/// The longest that fetching a document may take.
+const DOCUMENT_TIME: Duration = Duration::from_secs(2);
+
+/// How long a link may owe an answer before it is asked whether it still works.
+const SILENCE: Duration = Duration::from_millis(250);
+
+/// The longest that a link may take to say that it still works.
+const PING_TIME: Duration = Duration::from_millis(350);
+
+/// How often links are looked at for silence.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+
+/// Messages that wait to be written on one link.
+const PENDING: usize = 1_000;
+
+#[tarpc::service]
+trait Peer {
+    async fn run(envelope: Envelope, message: Message) -> Answer;
+    async fn beat(beat: Beat) -> Beat;
+    async fn borrow(ask: Ask) -> Loan;
+    async fn document(than: u64) -> Option<Text>;
+    async fn ping();
+}
+
+/// What two daemons tell each other now and then.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub record: Record,
+    /// Other members' records that changed lately.
+    pub rumors: Vec<Record>,
+    /// The document that the sender has in force.
+    pub version: u64,
+    /// Requests that crashed backend servers.
+    pub suspects: Vec<Rumor>,
+}
+
+/// Asks for one token.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Ask {
+    /// The customer that has a request waiting.
+    pub customer: String,
+}
+
+/// Answers an [`Ask`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Loan {
+    /// Whether a token was taken out for the asker.
+    pub granted: bool,
+}
+
+/// Why a request to another daemon has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No link could be opened, so nothing was sent.
+    Unreachable,
+    /// The link broke or went silent after the request may have been sent.
+    Broken,
+    /// Time ran out.
+    Late,
+}
+
+/// Links to other daemons, opened when they are first needed.
+#[derive(Debug, Default)]
+pub struct Links {
+    links: Mutex<BTreeMap<SocketAddr, Arc<OnceCell<Arc<Link>>>>>,
+}
+
+/// One link.
+#[derive(Debug)]
+struct Link {
+    client: PeerClient,
+    waiting: AtomicUsize,
+    heard: AtomicU64,
+    lost: watch::Sender<bool>,
+}
+
+/// A message that waits for its answer on a link.
+struct Waiting<'a>(&'a Link);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Link {
+    /// Waits for an answer, or until the link is given up.
+    async fn call<T>(
+        &self,
+        clock: Clock,
+        answer: impl Future<Output = Result<T, client::RpcError>>,
+    ) -> Result<T, Failure> {
+        if self.waiting.fetch_add(1, Ordering::AcqRel) == 0 {
+            self.hear(clock.now());
+        }
+        let _waiting = Waiting(self);
+        let mut lost = self.lost.subscribe();
+        tokio::select! {
+            answer = answer => match answer {
+                Ok(answer) => {
+                    self.hear(clock.now());
+                    Ok(answer)
+                }
+                Err(client::RpcError::DeadlineExceeded) => Err(Failure::Late),
+                Err(_) => Err(Failure::Broken),
+            },
+            _ = lost.wait_for(|lost| *lost) => Err(Failure::Broken),
         }
-        Err(problem) => Answer::not_run(envelope.request, Reason::BadRequest { problem }),
+    }
+
+    fn hear(&self, now: Time) {
+        self.heard.store(now.as_micros(), Ordering::Relaxed);
+    }
+
+    fn is_silent(&self, now: Time) -> bool {
+        let heard = Time::from_micros(self.heard.load(Ordering::Relaxed));
+        self.waiting.load(Ordering::Acquire) > 0 && now.since(heard) > SILENCE
+    }
+}
+
+impl Links {
+    /// Runs a request on the backend server of the daemon at `address`.
+    ///
+    /// Dropping the future cancels the request there.
+    ///
+    /// # Errors
+    ///
+    /// Only after [`Failure::Unreachable`] it is certain that the request did not run.
+    pub async fn run(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        envelope: Envelope,
+        message: Message,
+    ) -> Result<Answer, Failure> {
+        let left = Duration::from_micros(envelope.left);
+        let link = self.link(shared, address).await?;
+        let answer = link.client.run(context_of(left), envelope, message);
+        self.call(shared, address, &link, answer).await
+    }
+
+    /// Exchanges heartbeats with one member. Returns whether it answered.
+    pub async fn beat(&self, shared: &Shared, partner: &Record) -> bool {
+        let beat = beat_of(shared);
+        let address = partner.control;
+        let exchange = async {
+            let link = self.link(shared, address).await?;
+            let answer = link.client.beat(context_of(HEARTBEAT_TIME), beat);
+            self.call(shared, address, &link, answer).await
+        };
+        let Some(reply) = within(HEARTBEAT_TIME, exchange).await else { return false };
+        take_beat(shared, reply);
+        true
+    }
+
+    /// Borrows one token for `customer` from the daemon at `address`.
+    ///
+    /// A loan that comes late is dropped; the lender stops counting it a while after that.
+    pub async fn borrow(&self, shared: &Shared, address: SocketAddr, customer: &str) -> bool {
+        let sent = shared.board.clock.now();
+        let ask = Ask { customer: customer.to_owned() };
+        let exchange = async {
+            let link = self.link(shared, address).await?;
+            self.call(shared, address, &link, link.client.borrow(context_of(LOAN_USE), ask)).await
+        };
+        let loan = within(LOAN_USE, exchange).await;
+        let in_time = shared.board.clock.now().since(sent) <= LOAN_USE;
+        loan.is_some_and(|loan| loan.granted) && in_time
+    }
+
+    /// Fetches the document of the daemon at `address`, if it is newer than the one in force here.
+    pub async fn document(&self, shared: &Shared, address: SocketAddr) -> Option<Text> {
+        let than = shared.board.policy.load().version;
+        let exchange = async {
+            let link = self.link(shared, address).await?;
+            let answer = link.client.document(context_of(DOCUMENT_TIME), than);
+            self.call(shared, address, &link, answer).await
+        };
+        within(DOCUMENT_TIME, exchange).await.flatten()
+    }
+
+    async fn call<T>(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        link: &Arc<Link>,
+        answer: impl Future<Output = Result<T, client::RpcError>>,
+    ) -> Result<T, Failure> {
+        let result = link.call(shared.board.clock, answer).await;
+        if matches!(result, Err(Failure::Broken)) {
+            self.drop_link(address, link);
+        }
+        result
+    }
+
+    /// The link to `address`, opened now if there is none. Those who ask at once share one attempt.
+    async fn link(&self, shared: &Shared, address: SocketAddr) -> Result<Arc<Link>, Failure> {
+        let cell = Arc::clone(lock(&self.links).entry(address).or_default());
+        let open = async {
+            let opened = tokio::time::timeout(CONNECT_TIME, open(shared, address)).await;
+            opened.ok()?.inspect_err(|error| note_unopened(shared, address, error)).ok()
+        };
+        let link = cell.get_or_try_init(|| async { open.await.ok_or(Failure::Unreachable) }).await;
+        link.cloned()
+    }
+
+    fn drop_link(&self, address: SocketAddr, link: &Arc<Link>) {
+        let mut links = lock(&self.links);
+        let same = links.get(&address).and_then(|cell| cell.get());
+        if same.is_some_and(|known| Arc::ptr_eq(known, link)) {
+            links.remove(&address);
+        }
+        link.lost.send_replace(true);
+    }
+
+    fn silent(&self, now: Time) -> Vec<(SocketAddr, Arc<Link>)> {
+        let links = lock(&self.links);
+        let open = links.iter().filter_map(|(address, cell)| Some((*address, cell.get()?)));
+        let silent = open.filter(|(_, link)| link.is_silent(now));
+        silent.map(|(address, link)| (address, Arc::clone(link))).collect()
+    }
+}
+
+/// Drops links that owe an answer and do not answer a ping either, until the daemon ends. Requests that
+/// wait on such a link are told at once.
+pub async fn watch_links(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(WATCH_PERIOD).await;
+        let now = shared.board.clock.now();
+        for (address, link) in shared.links.silent(now) {
+            tokio::spawn(probe(Arc::clone(&shared), address, link));
+        }
+    }
+}
+
+async fn probe(shared: Arc<Shared>, address: SocketAddr, link: Arc<Link>) {
+    // Heard now, so that the next look does not ask again beside this one.
+    link.hear(shared.board.clock.now() + PING_TIME);
+    let answer = tokio::time::timeout(PING_TIME, link.client.ping(context_of(PING_TIME))).await;
+    if matches!(answer, Ok(Ok(()))) {
+        return link.hear(shared.board.clock.now());
+    }
+    tracing::info!(event = "link-silent", vm = shared.board.settings.vm, %address);
+    shared.links.drop_link(address, &link);
+}
+
+async fn within<T>(
+    time: Duration,
+    exchange: impl Future<Output = Result<T, Failure>>,
+) -> Option<T> {
+    tokio::time::timeout(time, exchange).await.ok()?.ok()
+}
+
+fn context_of(time: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Clock::instant_after(time);
+    context
+}
+
+fn note_unopened(shared: &Shared, address: SocketAddr, error: &io::Error) {
+    tracing::debug!(event = "link-unopened", vm = shared.board.settings.vm, %address, %error);
+}
+
+/// What stands in the first frame of a link, from the end that opens it.
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    challenge: Proof,
+}
+
+/// The answer: the accepting end's own challenge, and its proof that it knows the secret.
+#[derive(Debug, Serialize, Deserialize)]
+struct Welcome {
+    challenge: Proof,
+    proof: Proof,
+}
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream) -> io::Result<Frames> {
+    stream.set_nodelay(true)?;
+    let mut codec = LengthDelimitedCodec::builder();
+    Ok(codec.max_frame_length(LARGEST_MESSAGE).new_framed(stream))
+}
+
+async fn open(shared: &Shared, address: SocketAddr) -> io::Result<Arc<Link>> {
+    let mut frames = frames(TcpStream::connect(address).await?)?;
+    let keys = &shared.keys;
+    let challenge = Proof::random(&mut rand::rng());
+    frames.send(codec::encode(&Hello { challenge })?).await?;
+    let welcome: Welcome = receive(&mut frames).await?;
+    if !keys.proves(&welcome.proof, &challenge, ACCEPTED) {
+        return Err(io::Error::new(io::ErrorKind::PermissionDenied, "its secret is another"));
+    }
+    frames.send(codec::encode(&keys.prove(&welcome.challenge, OPENED))?).await?;
+    let transport = tarpc::serde_transport::new(frames, Postcard);
+    let mut config = client::Config::default();
+    config.max_in_flight_requests = usize::MAX;
+    config.pending_request_buffer = PENDING;
+    let client = PeerClient::new(config, transport).spawn();
+    let link = Link {
+        client,
+        waiting: AtomicUsize::new(0),
+        heard: AtomicU64::new(0),
+        lost: watch::Sender::new(false),
     };
-    let sealed = board.fleet.seal_text(&answer.report);
-    let mut response = answer.into_response();
-    response.headers_mut().insert(message::REPORT, message::ascii(&sealed));
-    response
+    Ok(Arc::new(link))
+}
+
+/// What the end that opens a link proves, beside the challenge.
+const OPENED: &[u8] = b"opened";
+
+/// What the end that accepts a link proves, beside the challenge.
+const ACCEPTED: &[u8] = b"accepted";
+
+async fn receive<T: DeserializeOwned>(frames: &mut Frames) -> io::Result<T> {
+    let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
+    codec::decode(&frame)
+}
+
+/// Checks that the other end knows the secret, before any message of it is read.
+async fn accept(keys: &FleetKeys, stream: TcpStream) -> io::Result<Frames> {
+    let mut frames = frames(stream)?;
+    let hello: Hello = receive(&mut frames).await?;
+    let proof = keys.prove(&hello.challenge, ACCEPTED);
+    let challenge = Proof::random(&mut rand::rng());
+    frames.send(codec::encode(&Welcome { challenge, proof })?).await?;
+    let proof: Proof = receive(&mut frames).await?;
+    if !keys.proves(&proof, &challenge, OPENED) {
+        return Err(io::Error::new(io::ErrorKind::PermissionDenied, "its secret is another"));
+    }
+    Ok(frames)
+}
+
+fn beat_of(shared: &Shared) -> Beat {
+    let board = &shared.board;
+    Beat {
+        record: board.record(),
+        rumors: board.update_view(|view, _| view.rumors()),
+        version: board.policy.load().version,
+        suspects: lock(&board.quarantine).rumors(board.clock.now()),
+    }
+}
+
+/// Merges what a peer said. Another's word that this VM is suspect is refuted with a new record.
+fn take_beat(shared: &Shared, beat: Beat) {
+    let board = &shared.board;
+    let control = beat.record.control;
+    let me = &board.settings.vm;
+    let records = std::iter::once(beat.record).chain(beat.rumors);
+    let (own, others): (Vec<_>, Vec<_>) = records.partition(|record| record.vm == *me);
+    let accused = own.iter().any(|r| r.suspect && r.incarnation == board.incarnation);
+    board.update_view(|view, now| {
+        for record in others {
+            view.merge(record, now);
+        }
+    });
+    if !beat.suspects.is_empty() {
+        board.suspect(|quarantine, now| quarantine.merge(&beat.suspects, now));
+    }
+    if accused {
+        board.publish_self();
+    }
+    board.newer.send_if_modified(|newest| {
+        let newer = beat.version > newest.version;
+        if newer {
+            *newest = Newer { version: beat.version, control };
+        }
+        newer
+    });
+}
+
+#[derive(Debug, Clone)]
+struct Server {
+    shared: Arc<Shared>,
+}
+
+impl Peer for Server {
+    async fn run(self, _: context::Context, envelope: Envelope, message: Message) -> Answer {
+        backend::run(&self.shared, envelope, message).await
+    }
+
+    async fn beat(self, _: context::Context, beat: Beat) -> Beat {
+        take_beat(&self.shared, beat);
+        beat_of(&self.shared)
+    }
+
+    async fn borrow(self, _: context::Context, ask: Ask) -> Loan {
+        Loan { granted: self.shared.board.lend(&ask.customer) }
+    }
+
+    async fn document(self, _: context::Context, than: u64) -> Option<Text> {
+        let text = self.shared.board.document.load_full()?;
+        (text.version > than).then(|| (*text).clone())
+    }
+
+    async fn ping(self, _: context::Context) {}
+}
+
+/// Serves other daemons until `stop` turns true.
+pub async fn serve(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        tokio::spawn(serve_link(Arc::clone(&shared), stream, stop.clone()));
+    }
+}
+
+async fn serve_link(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
+    let accepted = tokio::time::timeout(HEARTBEAT_TIME, accept(&shared.keys, stream)).await;
+    let Ok(Ok(frames)) = accepted else { return };
+    let transport = tarpc::serde_transport::new(frames, Postcard);
+    let channel = BaseChannel::with_defaults(transport);
+    let server = Server { shared };
+    let serving = channel.execute(server.serve()).for_each(|answer| async move {
+        tokio::spawn(answer);
+    });
+    tokio::select! {
+        () = serving => {}
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
 }
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -8,8 +8,8 @@
 
 use crate::document::{Document, SECTIONS, Sections, difference};
 use crate::envelope::Token;
-use crate::error::{Error, Invalid, PlatformError, Result};
-use crate::platform::{Client, Commit, Row, Transaction};
+use crate::error::{Error, Invalid, Result, StoreError};
+use crate::store::{Client, Commit, Row, Transaction};
 
 /// The row that names the version in force.
 pub const HEAD: &str = "document/head";
@@ -221,7 +221,7 @@
 /// As [`Edit::step`], and a platform error when the platform cannot be reached. After a lost answer it
 /// reads back, so an error means that the edit is not in force unless it says that this is unknown.
 pub async fn apply(platform: &Client, edit: &Edit) -> Result<u64> {
-    let mut lost: Option<PlatformError> = None;
+    let mut lost: Option<StoreError> = None;
     let mut base = None;
     for _ in 0..MOST_TRIES {
         let (head, current) = match read(platform).await {
@@ -241,11 +241,11 @@
         }
         let step = edit.step(head.as_ref(), current.as_ref())?;
         let body = serde_json::to_vec(&step.body).unwrap_or_default();
-        platform.put_object(&step.object, body.into()).await?;
+        platform.put_object(&step.object, &body.into()).await?;
         match platform.commit(&step.transaction).await {
             Ok(Commit::Done(_)) => return Ok(step.body.version),
             Ok(Commit::Conflict(_)) => {}
-            Err(error @ PlatformError::AnswerLost(_)) => {
+            Err(error @ StoreError::AnswerLost(_)) => {
                 lost = Some(error);
                 pause().await;
             }
@@ -253,7 +253,7 @@
             Err(_) => pause().await,
         }
     }
-    let raced = PlatformError::Refused("other edits kept coming first".to_owned());
+    let raced = StoreError::Refused("other edits kept coming first".to_owned());
     Err(lost.unwrap_or(raced).into())
 }
 
@@ -265,7 +265,7 @@
 pub async fn read(platform: &Client) -> Result<(Option<Row>, Option<Body>)> {
     let Some(row) = platform.row(HEAD).await? else { return Ok((None, None)) };
     let head: Option<Head> = row.decode();
-    let head = head.ok_or_else(|| PlatformError::Refused("the head row is damaged".to_owned()))?;
+    let head = head.ok_or_else(|| StoreError::Refused("the head row is damaged".to_owned()))?;
     let body = fetch(platform, &head).await?;
     Ok((Some(row), Some(body)))
 }
@@ -276,8 +276,7 @@
 ///
 /// Returns a platform error when it cannot be read.
 pub async fn fetch(platform: &Client, head: &Head) -> Result<Body> {
-    let damaged =
-        || PlatformError::Refused(format!("object {} is missing or damaged", head.object));
+    let damaged = || StoreError::Refused(format!("object {} is missing or damaged", head.object));
     let object = platform.object(&head.object).await?.ok_or_else(damaged)?;
     Ok(serde_json::from_slice(&object).map_err(|_| damaged())?)
 }
@@ -288,7 +287,7 @@
     change: Token,
     versions: std::ops::RangeInclusive<u64>,
 ) -> Result<Option<u64>> {
-    let rows = platform.rows(versions.map(audit_key).collect()).await?;
+    let rows = platform.rows(&versions.map(audit_key).collect::<Vec<_>>()).await?;
     let audits = rows.iter().filter_map(Row::decode::<Audit>);
     Ok(audits.into_iter().find(|audit| audit.change == change).map(|audit| audit.version))
 }
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -118,13 +118,16 @@
         /// What is wrong, and the limit that it breaks.
         problem: String,
     },
-    /// The envelope of another daemon is missing, forged or malformed.
-    BadEnvelope,
     /// This failure domain was cut off for longer than the document allows.
     Isolated {
         /// How long it has been cut off, in seconds.
         seconds: u64,
     },
+    /// The backend server itself refused the request, and says that it did not run it.
+    Shed {
+        /// The status of its answer.
+        status: u16,
+    },
     /// The instance's connection failed or its answer was incomplete.
     BadAnswer {
         /// What was wrong with it.
@@ -170,8 +173,8 @@
             Self::ClaimUnknown => "claim-unknown",
             Self::ClaimPending => "claim-pending",
             Self::BadRequest { .. } => "bad-request",
-            Self::BadEnvelope => "bad-envelope",
             Self::Isolated { .. } => "isolated",
+            Self::Shed { .. } => "shed",
             Self::BadAnswer { .. } => "bad-answer",
             Self::Quarantined { .. } => "quarantined",
             Self::Crashed => "crashed",
@@ -184,7 +187,7 @@
     pub const fn status(&self) -> StatusCode {
         match self {
             Self::MissingKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::UnknownToken | Self::BadEnvelope => StatusCode::FORBIDDEN,
+            Self::UnknownToken => StatusCode::FORBIDDEN,
             Self::UnknownRoute { .. } => StatusCode::NOT_FOUND,
             Self::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::MissingIdempotencyKey | Self::BadRequest { .. } => StatusCode::BAD_REQUEST,
@@ -202,6 +205,7 @@
             | Self::ServiceBound { .. }
             | Self::ClaimUnavailable
             | Self::Isolated { .. }
+            | Self::Shed { .. }
             | Self::Quarantined { .. }
             | Self::SuspectRuns
             | Self::TooManyConnections { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -225,6 +229,7 @@
             | Self::ClaimUnavailable
             | Self::ClaimPending
             | Self::DeadlinePassed { .. }
+            | Self::Shed { .. }
             | Self::Crashed
             | Self::SuspectRuns
             | Self::TooManyConnections { .. } => Some(Duration::from_secs(1)),
@@ -240,6 +245,7 @@
                 | Self::Displaced { .. }
                 | Self::NotReady
                 | Self::Leaving
+                | Self::Shed { .. }
                 | Self::BadAnswer { .. }
                 | Self::ServiceBound { .. }
                 | Self::Crashed
@@ -326,15 +332,15 @@
                 "the first request with this idempotency key is still running; ask again later"
             ),
             Self::BadRequest { problem } => write!(f, "{problem}"),
-            Self::BadEnvelope => write!(
-                f,
-                "the envelope is not signed with a fleet key; callers use the callers' address"
-            ),
             Self::Isolated { seconds } => write!(
                 f,
                 "this failure domain has been cut off for {seconds} s, longer than \
                  limits.isolation_s; connect to another failure domain"
             ),
+            Self::Shed { status } => write!(
+                f,
+                "the backend server answered {status} and did not run the request; come back later"
+            ),
             Self::BadAnswer { problem } => write!(f, "{problem}; look at the instance's own log"),
             Self::Quarantined { seconds } => write!(
                 f,
--- a/src/server.rs
+++ b/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 
+use crate::dialect::Dialect;
 use crate::envelope::RequestId;
 use crate::message::{Answer, Response};
 use crate::reason::Reason;
@@ -44,9 +45,12 @@
 }
 
 /// Serves `listener` until `stop` turns true, then finishes the requests in flight and returns.
+///
+/// Requests that break the bounds are refused in the words of `dialect`.
 pub async fn serve<H, F>(
     listener: TcpListener,
     bounds: Bounds,
+    dialect: Dialect,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -54,6 +58,7 @@
     F: Future<Output = Response> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let dialect = Arc::new(dialect);
     let slots = Arc::new(Semaphore::new(bounds.connections));
     loop {
         let accepted = tokio::select! {
@@ -66,16 +71,22 @@
         };
         let _ = stream.set_nodelay(true);
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
-            tokio::spawn(refuse(stream, bounds));
+            tokio::spawn(refuse(stream, bounds, Arc::clone(&dialect)));
             continue;
         };
         let handler = handler.clone();
+        let words = Arc::clone(&dialect);
         let service = service_fn(move |request| {
             let head = oversized_head(&request, bounds);
-            let answer = head.is_none().then(|| handler(request));
+            let answer = match head {
+                Some(reason) => Err(refusal(reason, &words)),
+                None => Ok(handler(request)),
+            };
             async move {
-                let Some(answer) = answer else { return Ok(refusal(head)) };
-                Ok::<_, Infallible>(answer.await)
+                match answer {
+                    Ok(answer) => Ok::<_, Infallible>(answer.await),
+                    Err(refusal) => Ok(refusal),
+                }
             }
         });
         let connection = builder(bounds).serve_connection(TokioIo::new(stream), service);
@@ -101,10 +112,9 @@
     })
 }
 
-fn refusal(reason: Option<Reason>) -> Response {
+fn refusal(reason: Reason, dialect: &Dialect) -> Response {
     let request = RequestId::random(&mut rand::rng());
-    let reason = reason.unwrap_or(Reason::Leaving);
-    Answer::not_run(request, reason).into_response()
+    Answer::not_run(request, reason).into_response(dialect)
 }
 
 fn builder(bounds: Bounds) -> hyper::server::conn::http1::Builder {
@@ -117,10 +127,11 @@
 }
 
 /// Answers one request of a connection over the limit, and closes it.
-async fn refuse(stream: TcpStream, bounds: Bounds) {
+async fn refuse(stream: TcpStream, bounds: Bounds, dialect: Arc<Dialect>) {
     let limit = bounds.connections as u64;
-    let service = service_fn(move |_| async move {
-        Ok::<_, Infallible>(refusal(Some(Reason::TooManyConnections { limit })))
+    let service = service_fn(move |_| {
+        let answer = refusal(Reason::TooManyConnections { limit }, &dialect);
+        async move { Ok::<_, Infallible>(answer) }
     });
     let mut builder = builder(bounds);
     let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -10,7 +10,7 @@
 use arc_swap::ArcSwap;
 
 use crate::bucket::Bucket;
-use crate::document::{CustomerId, Policy};
+use crate::document::{CustomerId, Limit, Policy};
 use crate::envelope::Reach;
 use crate::level::Cuts;
 use crate::share::{Holding, Turn};
@@ -174,8 +174,7 @@
             let below = self.below.get(&route.name).cloned().unwrap_or_default();
             next.below.insert(route.name.clone(), below);
         }
-        for (id, customer) in policy.customers() {
-            let (rate, burst) = (customer.rate, customer.burst);
+        for (id, _, Limit { rate, burst }) in policy.limited() {
             let share = match self.shares.get(&id) {
                 Some(share) => {
                     share.holding().set_limits(rate, burst, now);
--- a/src/time.rs
+++ b/src/time.rs
@@ -7,6 +7,7 @@
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 /// A point on one process's monotonic clock, in microseconds since that clock was started.
@@ -17,6 +18,9 @@
     /// The moment at which the clock was started.
     pub const ZERO: Self = Self(0);
 
+    /// A moment that never comes.
+    pub const MAX: Self = Self(u64::MAX);
+
     /// Makes a point from microseconds since the clock was started.
     pub const fn from_micros(micros: u64) -> Self {
         Self(micros)
@@ -79,6 +83,11 @@
     }
 }
 
+/// A time near `period`, so that daemons do not act in step.
+pub fn jitter(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
 /// Seconds since 1970, for operators to read. No decision about time depends on it.
 pub fn unix_seconds() -> u64 {
     since_1970().as_secs()
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,92 @@
+//! The store's calls in the project's own protocol, which the platform stand-in speaks.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::error::StoreError;
+use crate::store::{Call, Reply, Request, Wire};
+
+/// The project's own protocol.
+pub const OWN: Wire = Wire { encode, decode };
+
+/// Rows by their keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Read {
+    /// The keys.
+    pub keys: Vec<String>,
+}
+
+/// Rows under a prefix.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Scan {
+    /// The prefix of the keys.
+    pub prefix: String,
+    /// Only keys after this one.
+    #[serde(default)]
+    pub from: Option<String>,
+    /// Only rows that a later commit than this one wrote.
+    pub after: u64,
+}
+
+/// Changes of a table.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Feed {
+    /// The prefix of the keys.
+    pub table: String,
+    /// Only changes by a later commit than this one.
+    pub after: u64,
+    /// How long to wait for one, in milliseconds.
+    pub wait_ms: u64,
+}
+
+fn encode(call: &Call<'_>) -> Result<Request, StoreError> {
+    let (path, body) = match call {
+        Call::Commit(transaction) => ("/table/commit", json(transaction)?),
+        Call::Read(keys) => ("/table/read", json(&Read { keys: keys.to_vec() })?),
+        Call::Scan { prefix, from, after } => {
+            let (prefix, from) = ((*prefix).to_owned(), from.map(str::to_owned));
+            ("/table/scan", json(&Scan { prefix, from, after: *after })?)
+        }
+        Call::Feed { table, after, wait } => {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            ("/table/feed", json(&Feed { table: (*table).to_owned(), after: *after, wait_ms })?)
+        }
+        Call::PutObject { name, body } => {
+            let target = format!("/object/{name}");
+            return Ok(Request { method: Method::PUT, target, body: (*body).clone() });
+        }
+        Call::Object(name) => {
+            let target = format!("/object/{name}");
+            return Ok(Request { method: Method::GET, target, body: Bytes::new() });
+        }
+    };
+    Ok(Request { method: Method::POST, target: path.to_owned(), body })
+}
+
+fn decode(call: &Call<'_>, status: StatusCode, body: Bytes) -> Result<Reply, StoreError> {
+    match (status, call) {
+        (StatusCode::NOT_FOUND, Call::Object(_)) => Ok(Reply::Object(None)),
+        (StatusCode::GONE, Call::Feed { .. }) => Err(StoreError::HistoryGone),
+        (StatusCode::SERVICE_UNAVAILABLE, _) => {
+            Err(StoreError::AnswerLost("it answered 503".to_owned()))
+        }
+        (StatusCode::OK, Call::Commit(_)) => parse(&body).map(Reply::Commit),
+        (StatusCode::OK, Call::Read(_) | Call::Scan { .. } | Call::Feed { .. }) => {
+            parse(&body).map(Reply::Rows)
+        }
+        (StatusCode::OK, Call::PutObject { .. }) => Ok(Reply::Stored),
+        (StatusCode::OK, Call::Object(_)) => Ok(Reply::Object(Some(body))),
+        (other, _) => Err(StoreError::Refused(format!("it answered {other}"))),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Result<Bytes, StoreError> {
+    let text = serde_json::to_vec(value);
+    text.map(Bytes::from).map_err(|error| StoreError::Refused(error.to_string()))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|error| StoreError::AnswerLost(error.to_string()))
+}
--- a/standin/src/demo/system.rs
+++ b/standin/src/demo/system.rs
@@ -9,7 +9,7 @@
 use gypsumtack::publish::{self, Edit, Scope};
 use gypsumtack::tables::CustomerShare;
 use gypsumtack::time::{Clock, unix_seconds};
-use gypsumtack::{Board, Daemon, Digest, Error, Result, Settings, platform, settings};
+use gypsumtack::{Board, Daemon, Digest, Error, Result, Settings, settings, store, wire};
 use tokio::task::JoinHandle;
 
 use crate::backend::{Backend, Plan, Seen};
@@ -222,7 +222,7 @@
 
 async fn apply(address: SocketAddr, scope: Scope, text: String) -> Result<u64> {
     let settings = settings::Platform { address, timeout_ms: 1_000 };
-    let client = platform::Client::new(&settings, Clock::start());
+    let client = store::Client::new(&settings, wire::OWN, Clock::start());
     let edit = Edit {
         who: "demo".to_owned(),
         team: "demo".to_owned(),
--- a/standin/src/table.rs
+++ b/standin/src/table.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use gypsumtack::platform::{Check, Commit, Row, Transaction};
+use gypsumtack::store::{Check, Commit, Row, Rows, Transaction};
 
 /// A table whose transactions take effect one after the other.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     rows: BTreeMap<String, Row>,
+    deleted: BTreeMap<String, u64>,
     commits: u64,
 }
 
@@ -27,11 +28,14 @@
         for write in &transaction.writes {
             match &write.value {
                 Some(value) => {
-                    let (key, value) = (write.key.clone(), value.clone());
+                    let (key, value) = (write.key.clone(), value.clone().into());
+                    self.deleted.remove(&key);
                     self.rows.insert(key.clone(), Row { key, version: self.commits, value });
                 }
                 None => {
-                    self.rows.remove(&write.key);
+                    if self.rows.remove(&write.key).is_some() {
+                        self.deleted.insert(write.key.clone(), self.commits);
+                    }
                 }
             }
         }
@@ -49,6 +53,16 @@
         from.take_while(move |(key, _)| key.starts_with(prefix)).map(|(_, row)| row)
     }
 
+    /// What changed under `prefix` after the commit `after`, in the order of the changes.
+    pub fn changes(&self, prefix: &str, after: u64) -> Rows {
+        let mut rows: Vec<Row> =
+            self.scan(prefix).filter(|row| row.version > after).cloned().collect();
+        rows.sort_by_key(|row| row.version);
+        let deleted = self.deleted.iter().filter(|(key, _)| key.starts_with(prefix));
+        let deleted = deleted.filter(|(_, commit)| **commit > after).map(|(key, _)| key.clone());
+        Rows { rows, deleted: deleted.collect(), version: self.commits, more: false }
+    }
+
     /// How many transactions have taken effect.
     pub fn commits(&self) -> u64 {
         self.commits
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -7,7 +7,7 @@
 use gypsumtack::claim::{self, Claim, State, Stored, StoredBody, Verdict};
 use gypsumtack::envelope::Token;
 use gypsumtack::key::Digest;
-use gypsumtack::platform::{Commit, Row, Transaction};
+use gypsumtack::store::{Commit, Row, Transaction};
 use gypsumtack_standin::table::Table;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestError, TestRng, TestRunner};
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -4,8 +4,8 @@
 use gypsumtack::document::Sections;
 use gypsumtack::envelope::Token;
 use gypsumtack::error::Error;
-use gypsumtack::platform::{Commit, Row};
 use gypsumtack::publish::{AUDIT, Audit, Body, Edit, HEAD, Head, Scope, Step};
+use gypsumtack::store::{Commit, Row};
 use gypsumtack_standin::table::Table;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, TestRng, TestRunner};
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -7,8 +7,8 @@
 
 use gypsumtack::keeper::{Keeper, Proposal, Reading, Term, Written};
 use gypsumtack::lease::{self, Leases};
-use gypsumtack::platform::{Commit, Row, Transaction};
 use gypsumtack::share::{Ask, Fleet, Holding, LEASE, LOAN_USE, Owner, Shares};
+use gypsumtack::store::{Commit, Row, Transaction};
 use gypsumtack::time::Time;
 use gypsumtack_standin::table::Table;
 use proptest::prelude::*;
