--- a/src/board.rs
+++ b/src/board.rs
@@ -34,6 +34,16 @@
     /// Tells this start of it from every other; empty when it does not say.
     #[serde(default)]
     pub id: String,
+    /// When it was started, in milliseconds since 1970; 0 when it does not say.
+    #[serde(default)]
+    pub started: u64,
+    /// Grows with each announcement of one start, so that a late one can be told; 0 when it does not
+    /// count them.
+    #[serde(default)]
+    pub sequence: u64,
+    /// How much longer it is slow after its start, in milliseconds.
+    #[serde(default)]
+    pub cold_ms: u64,
     /// The service that it runs.
     pub service: String,
     /// Where it listens.
@@ -45,6 +55,41 @@
     pub draining: bool,
 }
 
+impl BackendServer {
+    /// Whether `other` says the same of itself, however often it has said so.
+    fn agrees(&self, other: &Self) -> bool {
+        (&self.id, self.started, &self.service, self.address, self.slots, self.draining)
+            == (
+                &other.id,
+                other.started,
+                &other.service,
+                other.address,
+                other.slots,
+                other.draining,
+            )
+    }
+}
+
+/// The newest that was heard of the local backend server, also after it has gone.
+#[derive(Debug, Clone, Default)]
+struct Heard {
+    id: String,
+    started: u64,
+    sequence: u64,
+    left: bool,
+}
+
+impl Heard {
+    /// Whether an announcement is older than what was heard: of an earlier start, late, or from one
+    /// that has said that it leaves for good.
+    fn outranks(&self, backend: &BackendServer) -> bool {
+        if (&self.id, self.started) != (&backend.id, backend.started) {
+            return backend.started < self.started;
+        }
+        self.left || backend.sequence < self.sequence
+    }
+}
+
 /// Where a document newer than the one in force was heard of.
 #[derive(Debug, Clone, Copy)]
 pub struct Newer {
@@ -79,6 +124,7 @@
     pub instances: ArcSwap<Instances>,
     /// What the local backend server announced.
     pub backend: ArcSwapOption<BackendServer>,
+    heard: Mutex<Heard>,
     /// Admission to the local backend server.
     pub gate: Arc<Gate>,
     /// Requests that run on the local backend server.
@@ -117,6 +163,7 @@
             view: Mutex::default(),
             instances: ArcSwap::default(),
             backend: ArcSwapOption::empty(),
+            heard: Mutex::default(),
             gate: Arc::new(Gate::new(clock, longest_wait)),
             live: LiveTable::default(),
             installed: Notify::new(),
@@ -174,21 +221,51 @@
         self.update_view(|_, _| ());
     }
 
-    /// Takes an announcement of the local backend server.
+    /// Takes an announcement of the local backend server. One that is older than what was heard before
+    /// changes nothing.
     pub fn announce(&self, backend: BackendServer) {
-        // A backend server that drains keeps its slots for what is already here.
-        let slots = backend.slots as usize;
-        let changed = self.backend.load().as_deref() != Some(&backend);
+        let mut heard = lock(&self.heard);
+        if heard.outranks(&backend) {
+            let (id, sequence) = (&backend.id, backend.sequence);
+            return tracing::info!(event = "announcement-outdated", id, sequence);
+        }
+        let (started, sequence) = (backend.started, backend.sequence);
+        *heard = Heard { id: backend.id.clone(), started, sequence, left: false };
+        let known = self.backend.load();
+        if known.as_ref().is_some_and(|known| known.agrees(&backend)) {
+            return;
+        }
         if backend.draining {
             self.close_soon();
         } else if !self.is_leaving() {
             self.closing.store(u64::MAX, Ordering::Release);
         }
+        tracing::info!(
+            event = "backend-announced",
+            id = backend.id,
+            service = backend.service,
+            draining = backend.draining,
+        );
+        // A backend server that drains keeps its slots for what is already here.
+        let slots = backend.slots as usize;
         self.backend.store(Some(Arc::new(backend)));
-        if changed {
-            self.gate.set_slots(slots);
-            self.publish_self();
+        self.gate.set_slots(slots);
+        self.publish_self();
+    }
+
+    /// Takes the word of the local backend server that it leaves for good: it gets nothing new, and a
+    /// late announcement does not bring it back.
+    pub fn withdraw(&self, id: &str, started: u64) {
+        let mut heard = lock(&self.heard);
+        if heard.id != id || (started != 0 && started != heard.started) {
+            return;
         }
+        heard.left = true;
+        tracing::info!(event = "backend-withdrawn", id);
+        let Some(known) = self.backend.load_full() else { return };
+        self.close_soon();
+        self.backend.store(Some(Arc::new(BackendServer { draining: true, ..(*known).clone() })));
+        self.publish_self();
     }
 
     /// Whether the local backend server takes new work.
@@ -205,6 +282,25 @@
         self.closing.fetch_min(closing, Ordering::AcqRel);
     }
 
+    /// The service of the backend server on this VM; empty while it is not known.
+    pub fn own_service(&self) -> String {
+        let announced = self.backend.load().as_ref().map(|backend| backend.service.clone());
+        announced.unwrap_or_else(|| self.settings.service.clone())
+    }
+
+    /// Whether this daemon can serve callers: it knows a document and is not leaving.
+    pub fn is_serving(&self) -> bool {
+        self.policy.load().version > 0 && !self.is_leaving()
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn render_metrics(&self) -> String {
+        let load = self.gate.load();
+        self.metrics.in_flight.set(i64::from(load.in_flight));
+        self.metrics.queued.set(i64::from(load.queued));
+        self.metrics.render()
+    }
+
     /// Starts a planned stop: new work goes elsewhere.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -230,7 +230,7 @@
         allowed: route.deadline.as_millis() as u64,
         allowance: 0,
         hops: 0,
-        caller: board.backend.load().as_ref().map(|b| b.service.clone()).unwrap_or_default(),
+        caller: board.own_service(),
         service: policy.service(service).name.clone(),
         passed: visit.passed,
         suspect: false,
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -103,11 +103,7 @@
 }
 
 async fn metrics(StateRef(shared): StateRef<'_, Shared>) -> WebResponse {
-    let board = &shared.board;
-    let load = board.gate.load();
-    board.metrics.in_flight.set(i64::from(load.in_flight));
-    board.metrics.queued.set(i64::from(load.queued));
-    text(StatusCode::OK, board.metrics.render())
+    text(StatusCode::OK, shared.board.render_metrics())
 }
 
 async fn status(StateRef(shared): StateRef<'_, Shared>) -> WebResponse {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -21,6 +21,10 @@
     pub vm: String,
     /// The failure domain that the VM stands in.
     pub failure_domain: String,
+    /// The service of the backend server on this VM, where the settings know it; callers' requests
+    /// count as coming from there.
+    #[serde(default)]
+    pub service: String,
     /// Where the daemon listens.
     pub listen: Listen,
     /// The platform's address.
@@ -63,8 +67,11 @@
 #[derive(Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
-    /// The first signs; all are accepted, so that one can be rotated.
+    /// The first proves; all are accepted, so that one can be rotated.
     pub secrets: Vec<String>,
+    /// Whether daemons need no secret, because the network keeps everyone else out.
+    #[serde(default)]
+    pub open: bool,
 }
 
 impl std::fmt::Debug for Fleet {
@@ -144,7 +151,12 @@
         Self::parse(&text, path)
     }
 
-    fn check(&self, origin: &str) -> Result<()> {
+    /// Checks what the types cannot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first mistake with its key and remedy.
+    pub fn check(&self, origin: &str) -> Result<()> {
         let fail = |key: &str, problem: String, remedy: &str| {
             Error::from(Invalid {
                 origin: origin.to_owned(),
@@ -166,7 +178,8 @@
             let problem = format!("it is {}", self.limits.threads);
             return Err(fail("limits.threads", problem, "set it between 1 and 64"));
         }
-        if self.fleet.secrets.is_empty() || self.fleet.secrets.len() > 2 {
+        let none = self.fleet.secrets.is_empty() && !self.fleet.open;
+        if none || self.fleet.secrets.len() > 2 {
             let problem = format!("there are {} secrets", self.fleet.secrets.len());
             return Err(fail("fleet.secrets", problem, "give one, or two while one is rotated"));
         }
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -224,6 +224,9 @@
     loop {
         let announcement = BackendServer {
             id: String::new(),
+            started: 0,
+            sequence: 0,
+            cold_ms: 0,
             service: state.plan.service.clone(),
             address,
             slots: state.plan.slots,
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -160,6 +160,9 @@
     fleet.nodes[0].backend.stop();
     let backend = BackendServer {
         id: String::new(),
+        started: 0,
+        sequence: 0,
+        cold_ms: 0,
         service: "deep".into(),
         address,
         slots: 4,
