Serve pipelined requests of a caller side by side

Cause: three of four kinds of request are pipelined, and hyper serves one request of a connection after the other: safety look-ups of 24 ms waited behind lists of 300 ms (557 of 1,649 within 100 ms).

Change: callers have a listener of their own on httparse. It reads ahead, runs up to 32 requests of a connection side by side, answers in order, keeps requests that change something behind those before them, and drops the work of a caller that has gone. Heads and chunked bodies are modules without I/O.

--- a/benches/listener.rs
+++ b/benches/listener.rs
@@ -1,16 +1,20 @@
-//! Work that goes on after its caller has gone, on hyper and on xitca-web, in one run.
-//! `cargo bench --bench listener`.
+//! Listeners side by side, in one run: work that goes on after its caller has gone, and the time that
+//! pipelined requests take. `cargo bench --bench listener`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gypsumtack::dialect::Dialect;
-use gypsumtack::message::Response;
+use gypsumtack::envelope::RequestId;
+use gypsumtack::message::{Answer, Message, Response};
+use gypsumtack::pipeline;
+use gypsumtack::reason::Reason;
 use gypsumtack::server::{self, Bounds};
 use gypsumtack_standin::caller::{Caller, Question};
-use http_body_util::Full;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use xitca_web::App;
 use xitca_web::handler::handler_service;
@@ -23,6 +27,9 @@
 /// How long a handler works.
 const WORK: Duration = Duration::from_millis(500);
 
+/// Requests that one caller sends without waiting for answers.
+const PIPELINED: usize = 4;
+
 /// When its caller goes away.
 const PATIENCE: Duration = Duration::from_millis(50);
 
@@ -32,19 +39,25 @@
 }
 
 async fn run() {
-    let (hyper, xitca) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let counter = || Arc::new(AtomicU32::new(0));
+    let (own, hyper, xitca) = (counter(), counter(), counter());
     let (stop, stopped) = watch::channel(false);
+    let own_address = start_own(Arc::clone(&own), stopped.clone()).await;
     let hyper_address = start_hyper(Arc::clone(&hyper), stopped).await;
     let (xitca_address, handle) = start_xitca(Arc::clone(&xitca));
-    for (name, address, ended) in
-        [("hyper", hyper_address, &hyper), ("xitca-web", xitca_address, &xitca)]
-    {
+    for (name, address, ended) in [
+        ("own", own_address, &own),
+        ("hyper", hyper_address, &hyper),
+        ("xitca-web", xitca_address, &xitca),
+    ] {
         let calls = (0..REQUESTS).map(|_| leave_early(address));
         futures::future::join_all(calls).await;
         tokio::time::sleep(WORK * 2).await;
         let ended = ended.load(Ordering::Relaxed);
         println!(
-            "{name:<10} callers that went away {REQUESTS}  handlers that worked to the end {ended}"
+            "{name:<10} callers that went away {REQUESTS}  handlers that worked to the end {ended}  \
+             {PIPELINED} pipelined requests {:.0} ms",
+            pipelined(address).await.as_secs_f64() * 1e3
         );
     }
     let _ = stop.send(true);
@@ -56,20 +69,47 @@
     let _ = tokio::time::timeout(PATIENCE, caller.ask(address, Question::get("/"))).await;
 }
 
+/// How long pipelined requests take together, each of which works for [`WORK`].
+async fn pipelined(address: SocketAddr) -> Duration {
+    let mut stream = TcpStream::connect(address).await.expect("it listens");
+    let start = Instant::now();
+    let requests = "GET / HTTP/1.1\r\nhost: x\r\n\r\n".repeat(PIPELINED);
+    stream.write_all(requests.as_bytes()).await.expect("it reads");
+    let mut answers = Vec::new();
+    while answers.windows(9).filter(|nine| nine == b"HTTP/1.1 ").count() < PIPELINED {
+        stream.read_buf(&mut answers).await.expect("it answers");
+    }
+    start.elapsed()
+}
+
+async fn start_own(ended: Arc<AtomicU32>, stop: watch::Receiver<bool>) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let handler = move |_: Message| {
+        let ended = Arc::clone(&ended);
+        async move {
+            tokio::time::sleep(WORK).await;
+            ended.fetch_add(1, Ordering::Relaxed);
+            Answer::not_run(RequestId::random(&mut rand::rng()), Reason::NoDocument)
+        }
+    };
+    let bounds = || Bounds::inner(1_000);
+    tokio::spawn(pipeline::serve(listener, bounds, Dialect::own(), stop, handler));
+    address
+}
+
 async fn start_hyper(ended: Arc<AtomicU32>, stop: watch::Receiver<bool>) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
-    let bounds =
-        Bounds { connections: 1_000, header_bytes: 8_192, header_time: Duration::from_secs(5) };
     let handler = move |_| {
         let ended = Arc::clone(&ended);
         async move {
             tokio::time::sleep(WORK).await;
             ended.fetch_add(1, Ordering::Relaxed);
-            Response::new(Full::default())
+            Response::new(bytes::Bytes::new())
         }
     };
-    tokio::spawn(server::serve(listener, bounds, Dialect::own(), stop, handler));
+    tokio::spawn(server::serve(listener, Bounds::inner(1_000), Dialect::own(), stop, handler));
     address
 }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::shared::Shared;
 use crate::store::{Client, Wire};
 use crate::time::{self, Clock};
-use crate::{claims, controllers, egress, entry, feed, ops, peer, wire};
+use crate::{claims, controllers, egress, entry, feed, ops, peer, pipeline, wire};
 
 /// How often a planned stop looks whether all requests have ended.
 const STOP_PERIOD: Duration = Duration::from_millis(20);
@@ -259,8 +259,9 @@
         let own = Arc::clone(shared);
         let callers = Door::open(|stop| {
             let handler = move |request| entry::handle(Arc::clone(&own), request);
-            let bounds = bounds(shared, limits.caller_connections);
-            server::serve(callers, bounds, shared.dialect.clone(), stop, handler)
+            let asked = Arc::clone(shared);
+            let bounds = move || bounds(&asked, asked.board.settings.limits.caller_connections);
+            pipeline::serve(callers, bounds, shared.dialect.clone(), stop, handler)
         });
         let egress = egress.map(|egress| {
             let own = Arc::clone(shared);
@@ -278,7 +279,14 @@
 
 fn bounds(shared: &Shared, connections: usize) -> Bounds {
     let limits = &shared.board.settings.limits;
-    Bounds { connections, header_bytes: limits.header_bytes, header_time: limits.header_time() }
+    let request_bytes = shared.board.policy.load().limits.request_bytes;
+    Bounds {
+        connections,
+        header_bytes: limits.header_bytes,
+        body_bytes: usize::try_from(request_bytes).unwrap_or(usize::MAX),
+        header_time: limits.header_time(),
+        idle_time: limits.idle_time(),
+    }
 }
 
 async fn bind(key: &'static str, address: &mut SocketAddr) -> Result<TcpListener> {
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -14,6 +14,9 @@
 use crate::shared::Shared;
 use crate::tables::ServiceState;
 
+/// How much of an unmatched path is repeated in its refusal, in characters.
+const PATH_SHOWN: usize = 100;
+
 /// Answers one call of the local backend server.
 pub async fn handle(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response {
     let board = &shared.board;
@@ -26,39 +29,43 @@
     let path = parts.uri.path();
     let host = message::host_of(&parts.headers);
     let route = policy.route(host, parts.method.as_str(), path).map(|id| policy.route_at(id));
-    let Some(live) = live else {
-        let open = route.is_some_and(|route| route.open);
-        return without_token(Arc::clone(&shared), parts, body, open).await;
-    };
-    let request = live.envelope.request.clone();
-    let Some(route) = route else {
-        let path = path.chars().take(100).collect();
-        return Answer::not_run(request, Reason::UnknownRoute { path }).into_response(dialect);
-    };
-    let body = match message::collect(body, policy.limits.request_bytes).await {
+    let limit = policy.limits.request_bytes;
+    let body = match message::collect(body, limit).await {
         Ok(body) => body,
         Err(problem) => {
+            let request = RequestId::random(&mut rand::rng());
             return Answer::not_run(request, Reason::BadRequest { problem }).into_response(dialect);
         }
     };
-    let mut headers = parts.headers;
-    message::pass_on(&mut headers, &shared.private);
-    let message = Message { method: parts.method, uri: parts.uri, headers, body };
-    call_on(&shared, &policy, route, &live, message).await.into_response(dialect)
+    let message = Message { method: parts.method, uri: parts.uri, headers: parts.headers, body };
+    let answer = match live {
+        Some(live) => with_token(&shared, &policy, route, &live, message).await,
+        // Routes open to all need no live request; such a call enters like a caller's.
+        None if route.is_some_and(|route| route.open) => {
+            crate::entry::handle(Arc::clone(&shared), message).await
+        }
+        None => {
+            let request = RequestId::random(&mut rand::rng());
+            Answer::not_run(request, Reason::UnknownToken)
+        }
+    };
+    answer.into_response(dialect)
 }
 
-/// Routes open to all need no live request; such a call enters like a caller's.
-async fn without_token(
-    shared: Arc<Shared>,
-    parts: http::request::Parts,
-    body: Incoming,
-    open: bool,
-) -> Response {
-    if open {
-        return crate::entry::handle(shared, http::Request::from_parts(parts, body)).await;
-    }
-    let request = RequestId::random(&mut rand::rng());
-    Answer::not_run(request, Reason::UnknownToken).into_response(&shared.dialect)
+async fn with_token(
+    shared: &Arc<Shared>,
+    policy: &Policy,
+    route: Option<&Route>,
+    live: &Arc<Live>,
+    mut message: Message,
+) -> Answer {
+    let Some(route) = route else {
+        let path = message.uri.path().chars().take(PATH_SHOWN).collect();
+        let request = live.envelope.request.clone();
+        return Answer::not_run(request, Reason::UnknownRoute { path });
+    };
+    message::pass_on(&mut message.headers, &shared.private);
+    call_on(shared, policy, route, live, message).await
 }
 
 async fn call_on(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,7 +6,6 @@
 
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue};
-use hyper::body::Incoming;
 use rand::Rng;
 
 use crate::board::{Board, InFlight};
@@ -17,7 +16,7 @@
 use crate::forward::{self, Call};
 use crate::journal;
 use crate::key::Digest;
-use crate::message::{self, Answer, Message, Response};
+use crate::message::{self, Answer, Message};
 use crate::metrics::RequestLabels;
 use crate::reason::{Outcome, Reason};
 use crate::retry::Ledger;
@@ -29,21 +28,21 @@
 const PATH_SHOWN: usize = 100;
 
 /// Answers one request of a caller.
-pub async fn handle(shared: Arc<Shared>, request: http::Request<Incoming>) -> Response {
+pub async fn handle(shared: Arc<Shared>, mut message: Message) -> Answer {
     let board = &shared.board;
     let _in_flight = InFlight::count(board);
     let start = board.clock.now();
-    let id = name_of(&shared.dialect, request.headers());
+    let id = name_of(&shared.dialect, &message.headers);
     let policy = board.policy.load_full();
-    let left = time_left(&shared.dialect, request.headers());
+    let left = time_left(&shared.dialect, &message.headers);
     let deadline = left.map_or(Time::MAX, |left| start + left);
     let mut visit = Visit { id, start, deadline, route: None, customer: None, passed: 1.0 };
-    let answer = match admit(&shared, &policy, &mut visit, request).await {
-        Ok(message) => pass(&shared, &policy, &visit, message).await,
+    let answer = match admit(&shared, &policy, &mut visit, &mut message).await {
+        Ok(()) => pass(&shared, &policy, &visit, message).await,
         Err(reason) => Answer::not_run(visit.id.clone(), reason),
     };
     conclude(board, &policy, &visit, &answer);
-    answer.into_response(&shared.dialect)
+    answer
 }
 
 /// The name that the caller gave its request, or a new one.
@@ -68,42 +67,34 @@
     passed: f32,
 }
 
-/// Decides whether a request enters, and reads all of it.
+/// Decides whether a request enters, and takes off what goes no further.
 async fn admit<'a>(
     shared: &Shared,
     policy: &'a Policy,
     visit: &mut Visit<'a>,
-    request: http::Request<Incoming>,
-) -> Result<Message, Reason> {
+    message: &mut Message,
+) -> Result<(), Reason> {
     if policy.version == 0 {
         return Err(Reason::NoDocument);
     }
     let board = &shared.board;
-    let (parts, body) = request.into_parts();
-    let path = parts.uri.path();
-    let host = message::host_of(&parts.headers);
-    let Some(route) = policy.route(host, parts.method.as_str(), path) else {
+    let path = message.uri.path();
+    let Some(route) = policy.route(message.host(), message.method.as_str(), path) else {
         return Err(Reason::UnknownRoute { path: path.chars().take(PATH_SHOWN).collect() });
     };
     let route = policy.route_at(route);
     visit.route = Some(route);
     visit.deadline = visit.deadline.min(visit.start + route.deadline);
-    visit.customer = identify(&shared.dialect, policy, route, &parts.headers)?;
+    visit.customer = identify(&shared.dialect, policy, route, &message.headers)?;
     if let Some(customer) = visit.customer {
         check_isolation(board, policy, customer)?;
     }
     visit.passed = pass_levels(board, route, visit.customer)?;
-    let limit = policy.limits.request_bytes;
-    let left = visit.deadline.since(visit.start);
-    let body = tokio::time::timeout(left, message::collect(body, limit)).await;
-    let body = body.unwrap_or_else(|_| Err("the body did not arrive in time".to_owned()));
-    let body = body.map_err(|problem| Reason::BadRequest { problem })?;
     if let Some(customer) = visit.customer {
         take_token(shared, policy, customer).await?;
     }
-    let mut headers = parts.headers;
-    message::pass_on(&mut headers, &shared.private);
-    Ok(Message { method: parts.method, uri: parts.uri, headers, body })
+    message::pass_on(&mut message.headers, &shared.private);
+    Ok(())
 }
 
 /// Finds the customer whose key came with the request. The key itself goes no further.
--- a/src/message.rs
+++ b/src/message.rs
@@ -66,7 +66,7 @@
 pub type Request = http::Request<Full<Bytes>>;
 
 /// A response whose whole body is in memory.
-pub type Response = http::Response<Full<Bytes>>;
+pub type Response = http::Response<Bytes>;
 
 /// A whole answer with what the daemons know about it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -124,7 +124,7 @@
                 headers.insert(RETRY_AFTER, dialect.retry_after(span));
             }
         }
-        let mut response = http::Response::new(Full::new(self.body));
+        let mut response = http::Response::new(self.body);
         *response.status_mut() = self.status;
         *response.headers_mut() = headers;
         response
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,14 +1,15 @@
-//! The listener for callers, for other daemons and for the local backend server's own calls.
+//! The listener for the local backend server's own calls, and for the stand-ins.
 //!
 //! It stands on hyper, because hyper drops the handler when the other side goes away; that drop is how
 //! cancellation travels down the call graph. docs/DESIGN.md, "Listeners", has the measurement beside
-//! xitca-web.
+//! xitca-web; callers have a [listener](crate::pipeline) of their own.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,7 +23,7 @@
 use crate::reason::Reason;
 
 /// How long a connection over the limit has to send its request and read the refusal.
-const REFUSAL_TIME: Duration = Duration::from_secs(1);
+pub(crate) const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// Heads up to this many times the limit get a refusal that says so; larger ones get hyper's own.
 const HEAD_ROOM: usize = 4;
@@ -31,7 +32,7 @@
 const LEAST_BUFFER: usize = 8 << 10;
 
 /// How long the listener rests after the system refused it a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Bounds of one listener.
 #[derive(Debug, Clone, Copy)]
@@ -40,8 +41,25 @@
     pub connections: usize,
     /// The largest request head, in bytes.
     pub header_bytes: usize,
-    /// The longest that a request head may take.
+    /// The largest request body, in bytes.
+    pub body_bytes: usize,
+    /// The longest that a request may take to arrive.
     pub header_time: Duration,
+    /// How long a connection may stay idle.
+    pub idle_time: Duration,
+}
+
+impl Bounds {
+    /// Bounds for a listener of few, known peers.
+    pub const fn inner(connections: usize) -> Self {
+        Self {
+            connections,
+            header_bytes: 64 << 10,
+            body_bytes: 64 << 20,
+            header_time: Duration::from_secs(30),
+            idle_time: Duration::from_secs(30),
+        }
+    }
 }
 
 /// Serves `listener` until `stop` turns true, then finishes the requests in flight and returns.
@@ -83,10 +101,11 @@
                 None => Ok(handler(request)),
             };
             async move {
-                match answer {
-                    Ok(answer) => Ok::<_, Infallible>(answer.await),
-                    Err(refusal) => Ok(refusal),
-                }
+                let response = match answer {
+                    Ok(answer) => answer.await,
+                    Err(refusal) => refusal,
+                };
+                Ok::<_, Infallible>(response.map(Full::new))
             }
         });
         let connection = builder(bounds).serve_connection(TokioIo::new(stream), service);
@@ -131,7 +150,7 @@
     let limit = bounds.connections as u64;
     let service = service_fn(move |_| {
         let answer = refusal(Reason::TooManyConnections { limit }, &dialect);
-        async move { Ok::<_, Infallible>(answer) }
+        async move { Ok::<_, Infallible>(answer.map(Full::new)) }
     });
     let mut builder = builder(bounds);
     let connection = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -96,6 +96,8 @@
     pub header_bytes: usize,
     /// The longest that a request head may take to arrive, in milliseconds.
     pub header_ms: u64,
+    /// How long a caller's connection may stay idle, in milliseconds.
+    pub idle_ms: u64,
     /// How long a planned stop waits for peers to learn of it, in milliseconds.
     pub leave_ms: u64,
     /// How long a planned stop waits for requests in flight, in milliseconds.
@@ -111,6 +113,7 @@
             egress_connections: 1_000,
             header_bytes: 32 << 10,
             header_ms: 5_000,
+            idle_ms: 60_000,
             leave_ms: 2_000,
             stop_ms: 60_000,
         }
@@ -122,6 +125,11 @@
     pub const fn header_time(&self) -> Duration {
         Duration::from_millis(self.header_ms)
     }
+
+    /// How long a caller's connection may stay idle.
+    pub const fn idle_time(&self) -> Duration {
+        Duration::from_millis(self.idle_ms)
+    }
 }
 
 const fn default_timeout_ms() -> u64 {
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -13,7 +13,6 @@
 use gypsumtack::server::{self, Bounds};
 use gypsumtack::sync::lock;
 use http::{HeaderMap, HeaderName, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -165,11 +164,7 @@
         });
         let shared = Arc::clone(&state);
         let handler = move |request| handle(Arc::clone(&shared), request);
-        let bounds = Bounds {
-            connections: 4_000,
-            header_bytes: 64 << 10,
-            header_time: Duration::from_secs(30),
-        };
+        let bounds = Bounds::inner(4_000);
         // A runtime of its own, so that a crash ends everything of it at once, open connections too.
         let runtime =
             tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
@@ -351,7 +346,7 @@
 }
 
 fn respond(status: StatusCode, body: Bytes) -> Response {
-    let mut response = http::Response::new(Full::new(body));
+    let mut response = http::Response::new(body);
     *response.status_mut() = status;
     response
 }
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -13,7 +13,6 @@
 use gypsumtack::sync::lock;
 use gypsumtack::wire::{Feed, Read, Scan};
 use http::{Method, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -90,11 +89,7 @@
         let (stop, stopped) = watch::channel(false);
         let shared = Arc::clone(&state);
         let handler = move |request| handle(Arc::clone(&shared), request);
-        let bounds = Bounds {
-            connections: 10_000,
-            header_bytes: 64 << 10,
-            header_time: Duration::from_secs(30),
-        };
+        let bounds = Bounds::inner(10_000);
         tokio::spawn(server::serve(listener, bounds, Dialect::own(), stopped, handler));
         Ok(Self { address, state, stop })
     }
@@ -243,7 +238,7 @@
 }
 
 fn respond(status: StatusCode, body: Bytes) -> Response {
-    let mut response = http::Response::new(Full::new(body));
+    let mut response = http::Response::new(body);
     *response.status_mut() = status;
     response
 }
