--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -140,7 +140,7 @@
 enum Event {
     Read(std::io::Result<usize>),
     Written(std::io::Result<usize>),
-    Answered(Option<Answer>),
+    Answered(Option<Box<Answer>>),
     Stopped,
     Late,
 }
@@ -214,7 +214,7 @@
         let front = self.queue.front_mut();
         let answered = async {
             match front {
-                Some(pending) => (&mut pending.task).await.ok(),
+                Some(pending) => (&mut pending.task).await.ok().map(Box::new),
                 None => None,
             }
         };
@@ -343,7 +343,7 @@
     }
 
     /// Writes the answer that was owed first. One whose task failed ends the connection.
-    fn write_answer(&mut self, answer: Option<Answer>, stopping: bool) {
+    fn write_answer(&mut self, answer: Option<Box<Answer>>, stopping: bool) {
         let bodiless = self.queue.pop_front().is_some_and(|pending| pending.bodiless);
         let Some(answer) = answer else {
             self.queue.clear();
