--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,16 +2,18 @@
 
 #![allow(missing_docs, reason = "the benchmark macro adds a function")]
 
+use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use gypsumtack::admission::{self, Flow};
 use gypsumtack::codec;
 use gypsumtack::document::{CustomerId, Document, Importance, Policy};
 use gypsumtack::envelope::{Envelope, RequestId};
-use gypsumtack::guard::{Guard, Offer, Work};
+use gypsumtack::feedback::Feedback;
+use gypsumtack::guard::{Guard, Work};
 use gypsumtack::key::Digest;
-use gypsumtack::level::{Cuts, Levels, Offered};
 use gypsumtack::retry::Ledger;
 use gypsumtack::router::{self, Candidate};
 use gypsumtack::share::Holding;
@@ -19,6 +21,9 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+/// The latency objective of every request.
+const OBJECTIVE: Duration = Duration::from_millis(100);
+
 /// How many customers a decision is measured with.
 const CUSTOMERS: [u32; 3] = [8, 80, 800];
 
@@ -44,6 +49,7 @@
         customer: CustomerId::new(customer),
         weight: 1,
         importance: Importance::High,
+        objective: OBJECTIVE,
         begun: false,
         deadline: now + Duration::from_secs(1),
     }
@@ -61,7 +67,8 @@
         hops: 1,
         caller: "portal".to_owned(),
         service: "lists".to_owned(),
-        passed: 1.0,
+        objective: 100,
+        curious: false,
         suspect: false,
         claimed: false,
     }
@@ -72,15 +79,21 @@
     let mut group = criterion.benchmark_group("whole path of a request");
     for count in CUSTOMERS {
         let policy = policy(count);
-        let cuts = Cuts::follow(None, count as usize, Time::ZERO);
+        let feedback = Feedback::default();
         let mut holding = Holding::new(1e9, 1e9, Time::ZERO);
         holding.adopt(1.0, Time::ZERO);
         let mut guard = Guard::new(Duration::from_millis(500));
         guard.set_slots(100);
-        let mut levels = Levels::default();
         let mut rng = SmallRng::seed_from_u64(1);
         let candidates: Vec<Candidate> = (0..7)
-            .map(|index| Candidate { index, local: index < 3, load: 3, slots: 100 })
+            .map(|index| Candidate {
+                index,
+                local: index < 3,
+                load: 3,
+                slots: 100,
+                mean: Duration::from_millis(10),
+                failing: 0.0,
+            })
             .collect();
         let mut at = 0_u32;
         group.bench_function(BenchmarkId::new("customers", count), |bencher| {
@@ -90,24 +103,15 @@
                 let digest = Digest::of(&(at % count).to_le_bytes());
                 let customer = policy.authenticate(&digest).unwrap_or(CustomerId::new(0));
                 let route = policy.route("", "GET", "/r/1");
-                let level = cuts.of(Some(customer), Importance::High).at(now);
+                let refused = feedback.refused(0, Some(customer));
                 let token = holding.take(now);
                 let ledger = Ledger::new(2);
                 let lent = ledger.lend();
-                let target = router::choose(&candidates, &mut rng);
+                let target = router::choose(&candidates, OBJECTIVE, &mut rng);
                 let (offer, _) = guard.offer(work(customer.index() as u32, now), now);
-                let offered = Offered {
-                    customer,
-                    weight: 1,
-                    importance: Importance::High,
-                    passed: 1.0 - level,
-                    shed: matches!(offer, Offer::Refuse(_)),
-                };
-                levels.offered(offered, now);
-                let share = levels.share(customer, Importance::High, guard.idle(), now);
                 ledger.give_back(lent);
                 guard.finish(Some(Duration::from_millis(1)));
-                black_box((route, token.is_ok(), target, share))
+                black_box((route, token.is_ok(), target, offer, refused))
             });
         });
     }
@@ -138,6 +142,32 @@
     group.finish();
 }
 
+/// What an entry does 20 times a second while services are overloaded.
+fn decide_admission(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decide what an entry refuses");
+    for count in CUSTOMERS {
+        let flows: Vec<Flow> = (0..count * ROUTES)
+            .map(|at| Flow {
+                route: (at % ROUTES) as usize,
+                customer: Some(CustomerId::new(at / ROUTES)),
+                weight: 1.0,
+                rank: 0,
+                importance: Importance::ALL[(at % ROUTES) as usize % 4],
+                rate: f64::from(at % 97),
+                work: BTreeMap::from([("s".to_owned(), 0.01), ("t".to_owned(), 0.02)]),
+            })
+            .collect();
+        let levels = BTreeMap::from([("s".to_owned(), 0.3), ("t".to_owned(), 0.1)]);
+        group.bench_function(BenchmarkId::new("customers", count), |bencher| {
+            bencher.iter(|| black_box(admission::shed(&flows, &levels)));
+        });
+    }
+    group.finish();
+}
+
+/// Routes of the deployment that admission is measured with.
+const ROUTES: u32 = 6;
+
 fn envelopes(criterion: &mut Criterion) {
     let envelope = envelope();
     let bytes = codec::encode(&envelope).expect("it can be written");
@@ -149,5 +179,5 @@
     });
 }
 
-criterion_group!(benches, whole_path, full_queue, envelopes);
+criterion_group!(benches, whole_path, full_queue, decide_admission, envelopes);
 criterion_main!(benches);
--- a/examples/policy/crash.rs
+++ b/examples/policy/crash.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gypsumtack::guard::Guard;
 use gypsumtack::message::Message;
 use gypsumtack::quarantine::{Fingerprint, Standing};
 use http::{HeaderMap, Method, Uri};
 
-use crate::fakes::{LONGEST_WAIT, World};
+use crate::fakes::{World, intake};
 use crate::parts::{Event, FrameId, RootId, Stage};
 
 /// How long an instance takes to come back.
@@ -30,12 +29,13 @@
     pub(super) fn crash(&mut self, vm: usize) {
         self.crashes += 1;
         let lost: Vec<FrameId> = (0..self.frames.len()).filter(|&f| self.is_on(f, vm)).collect();
+        let slots = self.deployment.services[self.vms[vm].service].slots;
         let dead = &mut self.vms[vm];
         (dead.down, dead.running) = (true, 0);
         dead.epoch += 1;
         dead.fifo.clear();
         dead.tickets.clear();
-        dead.guard = Guard::new(LONGEST_WAIT);
+        dead.intake = intake(slots);
         for frame in lost {
             self.frames[frame].crashed = true;
             self.answer(frame, vm, false);
@@ -44,9 +44,7 @@
     }
 
     pub(super) fn restart(&mut self, vm: usize) {
-        let slots = self.deployment.services[self.vms[vm].service].slots;
         self.vms[vm].down = false;
-        self.vms[vm].guard.set_slots(slots);
     }
 
     /// The daemon that called learns of the death; heartbeats are taken to spread it at once.
--- a/examples/policy/deployment.rs
+++ b/examples/policy/deployment.rs
@@ -1,101 +1,262 @@
-//! The sizes and call graphs of the two deployments.
+//! The two deployments by their sheets: services, speeds, call graphs, rates and objectives.
 
-use gypsumtack::document::Importance;
+use std::collections::BTreeSet;
+use std::time::Duration;
 
-/// One service of a call graph.
+use gypsumtack::document::{Customer, Draft, Importance, LimitSpec, Policy, Route, Service};
+
+use crate::situations::WEIGHTS;
+
+/// One service.
 pub struct ServiceSpec {
-    pub instances: usize,
+    pub name: &'static str,
     pub slots: usize,
-    pub own_ms: u64,
-    pub calls: &'static [usize],
+    /// The failure domain and the speed of each instance.
+    pub instances: Vec<(usize, f64)>,
+    /// How much slower an instance is while nearly all of its slots are in use.
+    pub crowded: f64,
+}
+
+/// One kind of request.
+pub struct RouteSpec {
+    pub name: &'static str,
+    pub service: usize,
+    pub work_ms: f64,
+    /// Spread of the work: the standard deviation of its logarithm.
+    pub spread: f64,
+    pub objective_ms: u64,
+    pub deadline_ms: u64,
+    pub importance: Importance,
+    pub idempotent: bool,
+    /// Requests of callers a second; 0 for what only services call.
+    pub rate: f64,
+    /// What an answer is worth within its objective, and later.
+    pub worth: (f64, f64),
+    /// The calls that a request makes.
+    pub calls: Option<Calls>,
+}
+
+/// Calls of one kind.
+#[derive(Clone, Copy)]
+pub struct Calls {
+    pub route: usize,
+    pub times: usize,
+    /// Whether they are made at once or one after the other.
+    pub together: bool,
 }
 
-/// A deployment of the brief.
+/// A deployment.
 pub struct Deployment {
     pub name: &'static str,
     pub services: Vec<ServiceSpec>,
-    /// Time from a caller to an entry, and from one daemon to another.
+    pub routes: Vec<RouteSpec>,
+    /// Time from a caller to an entry.
     pub caller_ms: u64,
-    pub hop_us: u64,
+    /// Time between daemons of one failure domain, and between failure domains, in microseconds.
+    pub hop_us: (u64, u64),
     /// The service whose slots bound the whole.
     pub bottleneck: usize,
-    /// Requests a second of each route that together fill the bottleneck.
-    pub routes: Vec<RouteSpec>,
-}
-
-/// One route: where it enters, and its part of the capacity.
-pub struct RouteSpec {
-    pub service: usize,
-    pub importance: Importance,
-    pub part: f64,
 }
 
-const fn service(
-    instances: usize,
-    slots: usize,
-    own_ms: u64,
-    calls: &'static [usize],
-) -> ServiceSpec {
-    ServiceSpec { instances, slots, own_ms, calls }
+fn service(name: &'static str, slots: usize, domains: &[usize], speeds: [f64; 3]) -> ServiceSpec {
+    let speed = |at: usize| speeds[at % speeds.len()];
+    let instances = domains.iter().enumerate().map(|(at, domain)| (*domain, speed(at))).collect();
+    ServiceSpec { name, slots, instances, crowded: 1.0 }
 }
 
-fn routes(specs: &[(usize, Importance, f64)]) -> Vec<RouteSpec> {
-    let route = |&(service, importance, part)| RouteSpec { service, importance, part };
-    specs.iter().map(route).collect()
-}
-
-/// Inspection, lists, sign-off; all reach dossiers.
+/// The snagging register: lists, sign-off, dossiers, inspection.
 pub fn casablanca() -> Deployment {
-    use Importance::{Critical, High, Low, Normal};
+    use Importance::{Critical, High, Normal};
+    let call = |route, times, together| Some(Calls { route, times, together });
+    let route =
+        |name, service, work_ms, spread, (objective_ms, deadline_ms), importance| RouteSpec {
+            name,
+            service,
+            work_ms,
+            spread,
+            objective_ms,
+            deadline_ms,
+            importance,
+            idempotent: true,
+            rate: 0.0,
+            worth: (0.0, 0.0),
+            calls: None,
+        };
     Deployment {
         name: "casablanca",
         services: vec![
-            service(3, 15, 10, &[3]),
-            service(4, 150, 40, &[3]),
-            service(3, 130, 40, &[3]),
-            service(3, 110, 60, &[]),
+            service("lists", 129, &[0, 0, 1, 2], [0.7, 0.7, 1.6]),
+            service("signoff", 171, &[0, 1, 2], [0.6, 1.0, 1.4]),
+            service("dossiers", 129, &[0, 0, 1, 2], [0.6, 1.0, 1.4]),
+            ServiceSpec { crowded: 1.3, ..service("inspection", 16, &[0, 1, 2], [0.6, 1.0, 1.4]) },
+        ],
+        routes: vec![
+            RouteSpec {
+                rate: 237.0,
+                worth: (1.0, 0.1),
+                calls: call(4, 2, true),
+                ..route("list", 0, 60.0, 0.8, (1_200, 5_000), Normal)
+            },
+            RouteSpec {
+                rate: 84.4,
+                worth: (3.0, 0.2),
+                idempotent: false,
+                calls: call(5, 2, false),
+                ..route("signoff", 1, 78.0, 0.5, (1_200, 5_000), Critical)
+            },
+            RouteSpec {
+                rate: 96.4,
+                worth: (1.0, 0.1),
+                ..route("lookup", 2, 150.0, 0.8, (400, 800), Normal)
+            },
+            RouteSpec {
+                rate: 56.2,
+                worth: (2.0, 0.2),
+                ..route("safety", 3, 24.0, 0.5, (100, 400), High)
+            },
+            RouteSpec {
+                calls: call(5, 1, false),
+                ..route("history", 1, 15.0, 0.5, (1_000, 2_500), High)
+            },
+            RouteSpec {
+                calls: call(6, 4, false),
+                ..route("index", 2, 15.0, 0.5, (800, 2_000), High)
+            },
+            route("catalogue", 3, 15.0, 0.5, (300, 700), High),
         ],
         caller_ms: 1,
-        hop_us: 500,
+        hop_us: (100, 500),
         bottleneck: 3,
-        routes: routes(&[
-            (0, Critical, 0.008),
-            (2, Critical, 0.05),
-            (1, High, 0.3),
-            (1, Normal, 0.3),
-            (3, Low, 0.342),
-        ]),
     }
 }
 
-/// Verification, issuance, limits; all reach status.
+/// Guarantees: status, issuance, limits, verification.
 pub fn ulaanbaatar() -> Deployment {
-    use Importance::{Critical, High, Low, Normal};
+    use Importance::{Critical, High, Normal};
+    let call = |route, times| Some(Calls { route, times, together: false });
+    let route =
+        |name, service, work_ms, spread, (objective_ms, deadline_ms), importance| RouteSpec {
+            name,
+            service,
+            work_ms,
+            spread,
+            objective_ms,
+            deadline_ms,
+            importance,
+            idempotent: true,
+            rate: 0.0,
+            worth: (0.0, 0.0),
+            calls: None,
+        };
     Deployment {
         name: "ulaanbaatar",
         services: vec![
-            service(3, 35, 10, &[3]),
-            service(3, 160, 10, &[2]),
-            service(3, 160, 10, &[3]),
-            service(3, 160, 100, &[]),
+            service("status", 184, &[0, 1, 2], [0.7, 0.7, 1.6]),
+            service("issuance", 184, &[0, 1, 2], [0.6, 1.0, 1.4]),
+            service("limits", 184, &[0, 1, 2], [0.6, 1.0, 1.4]),
+            ServiceSpec { crowded: 1.3, ..service("verify", 42, &[0, 1, 2], [0.7, 0.7, 1.6]) },
+        ],
+        routes: vec![
+            RouteSpec {
+                rate: 264.0,
+                worth: (1.0, 0.3),
+                calls: call(4, 1),
+                ..route("status", 0, 120.0, 0.3, (1_500, 6_000), Normal)
+            },
+            RouteSpec {
+                rate: 81.2,
+                worth: (3.0, 0.6),
+                idempotent: false,
+                calls: call(5, 1),
+                ..route("issue", 1, 160.0, 0.3, (1_500, 6_000), Critical)
+            },
+            RouteSpec {
+                rate: 117.0,
+                worth: (1.0, 0.3),
+                ..route("limit", 2, 300.0, 0.5, (800, 3_000), Normal)
+            },
+            RouteSpec {
+                rate: 71.1,
+                worth: (2.0, 0.6),
+                ..route("verify", 3, 48.0, 0.5, (150, 600), High)
+            },
+            RouteSpec { calls: call(5, 1), ..route("ledger", 1, 15.0, 0.5, (1_200, 3_000), High) },
+            RouteSpec {
+                calls: call(6, 5),
+                ..route("collateral", 2, 15.0, 0.5, (1_200, 2_500), High)
+            },
+            route("registry", 3, 30.0, 0.5, (300, 700), High),
         ],
         caller_ms: 8,
-        hop_us: 500,
+        hop_us: (100, 500),
         bottleneck: 3,
-        routes: routes(&[
-            (1, Critical, 0.05),
-            (0, High, 0.01),
-            (2, High, 0.34),
-            (3, Normal, 0.35),
-            (3, Low, 0.25),
-        ]),
     }
 }
 
 impl Deployment {
-    /// Whole requests a second that fill the bottleneck.
+    /// Seconds of a slot of the bottleneck that one request of `route` takes, its calls included.
+    pub fn cost(&self, route: usize) -> f64 {
+        let spec = &self.routes[route];
+        let own = if spec.service == self.bottleneck { spec.work_ms / 1_000.0 } else { 0.0 };
+        own + spec.calls.map_or(0.0, |calls| calls.times as f64 * self.cost(calls.route))
+    }
+
+    /// Seconds of a slot that the bottleneck can give each second, at its speeds.
     pub fn capacity(&self) -> f64 {
         let spec = &self.services[self.bottleneck];
-        (spec.instances * spec.slots) as f64 / (spec.own_ms as f64 / 1_000.0)
+        spec.instances.iter().map(|(_, speed)| spec.slots as f64 * speed).sum()
+    }
+
+    /// What callers ask of the bottleneck at the rates of the sheet, as a part of what it can give.
+    pub fn load(&self) -> f64 {
+        let asked: f64 =
+            self.routes.iter().enumerate().map(|(at, spec)| spec.rate * self.cost(at)).sum();
+        asked / self.capacity()
+    }
+
+    /// The document that daemons would have in force.
+    pub fn policy(&self) -> Policy {
+        let service = |spec: &ServiceSpec| Service {
+            name: spec.name.to_owned(),
+            retry_ratio: 0.1,
+            retired: BTreeSet::new(),
+            ramp: Duration::ZERO,
+        };
+        let customer = |(at, weight): (usize, &u32)| {
+            let customer = Customer {
+                name: format!("customer-{at}"),
+                limit: None,
+                weight: *weight,
+                rank: 0,
+                refuse_isolated: false,
+                granted: true,
+            };
+            (customer, Vec::new())
+        };
+        let route = |spec: &RouteSpec| {
+            let route = Route {
+                name: spec.name.to_owned(),
+                host: None,
+                path: format!("/{}", spec.name),
+                methods: BTreeSet::new(),
+                targets: Vec::new(),
+                importance: spec.importance,
+                idempotent: spec.idempotent,
+                open: spec.rate == 0.0,
+                deadline: Duration::from_millis(spec.deadline_ms),
+                objective: Duration::from_millis(spec.objective_ms),
+                attempts: 2,
+                retries: 1,
+            };
+            (route, vec![(self.services[spec.service].name.to_owned(), 1)])
+        };
+        let draft = Draft {
+            limits: LimitSpec::default(),
+            domains: BTreeSet::new(),
+            services: self.services.iter().map(service).collect(),
+            customers: WEIGHTS.iter().enumerate().map(customer).collect(),
+            routes: self.routes.iter().map(route).collect(),
+        };
+        Policy::build(draft, 1, &Policy::empty())
     }
 }
--- a/examples/policy/fakes.rs
+++ b/examples/policy/fakes.rs
@@ -2,16 +2,21 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::fmt::Write as _;
 use std::time::Duration;
 
 use gypsumtack::bucket::Bucket;
-use gypsumtack::document::Importance;
-use gypsumtack::guard::{Guard, Offer, Released, Ticket, Work};
-use gypsumtack::level::{Cuts, Levels, Offered};
+use gypsumtack::document::Policy;
+use gypsumtack::envelope::Reach;
+use gypsumtack::feedback::Feedback;
+use gypsumtack::guard::{Offer, Released, Ticket, Work};
+use gypsumtack::intake::Intake;
 use gypsumtack::quarantine::Quarantine;
 use gypsumtack::reason::Outcome;
-use gypsumtack::retry::{Failure, Ledger};
+use gypsumtack::retry::Failure;
+use gypsumtack::room::{Capacity, Room};
 use gypsumtack::router::{self, Candidate};
+use gypsumtack::tables::Tables;
 use gypsumtack::time::Time;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -20,19 +25,27 @@
 use crate::parts::{End, Event, Frame, FrameId, Request, Root, RootId, Stage, Vm};
 
 /// The longest wait in a queue of the policy.
-pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(500);
-/// Attempts of one call in the baseline.
+pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// How often daemons decide what they refuse.
+const DECIDE_PERIOD: Duration = Duration::from_millis(50);
+/// Attempts of one call in the baseline, and in the policy.
 const NAIVE_ATTEMPTS: usize = 3;
-/// Retries over one request in the policy.
-const ALLOWANCE: u32 = 2;
+const ATTEMPTS: usize = 2;
 /// Retries of a service as a fraction of its successes, and at once.
 const RETRY_RATIO: f64 = 0.1;
-const RETRY_BURST: f64 = 10.0;
+const RETRY_BURST: f64 = 2.0;
+/// Slots that the policy leaves free, as a part.
+const SPARE: usize = 20;
+/// The part of the slots that work can fill.
+const FILLED: f64 = 0.94;
+/// How full an instance is when it slows down.
+const CROWDED: f64 = 0.95;
 
 /// The fakes, and the virtual time.
 pub struct World<'a> {
     pub now: Time,
     pub(super) deployment: &'a Deployment,
+    policy: Policy,
     pub(super) naive: bool,
     slowed: f64,
     pub(super) vms: Vec<Vm>,
@@ -44,7 +57,7 @@
     sequence: u64,
     pub(super) rng: SmallRng,
     pub ended: Vec<(RootId, Time, End)>,
-    /// Slot time spent on all requests, and on each root at the bottleneck and elsewhere.
+    /// Slot time spent on each root at the bottleneck and elsewhere.
     pub spent: Vec<[f64; 2]>,
     pub attempts: Vec<u32>,
     pub calls: Vec<u32>,
@@ -54,40 +67,38 @@
 
 impl<'a> World<'a> {
     pub fn new(deployment: &'a Deployment, rates: &[(f64, f64)], naive: bool, seed: u64) -> Self {
-        let count: usize = deployment.services.iter().map(|spec| spec.instances).sum();
+        let count: usize = deployment.services.iter().map(|spec| spec.instances.len()).sum();
+        let policy = deployment.policy();
         let mut vms = Vec::new();
         for (service, spec) in deployment.services.iter().enumerate() {
-            for domain in 0..spec.instances {
-                let mut guard = Guard::new(LONGEST_WAIT);
-                guard.set_slots(spec.slots);
+            for &(domain, speed) in &spec.instances {
                 vms.push(Vm {
+                    name: format!("{}-{}", spec.name, vms.len()),
                     service,
-                    domain: domain % 3,
-                    guard,
-                    levels: Levels::default(),
+                    domain,
+                    speed,
+                    intake: intake(spec.slots),
+                    feedback: Feedback::default(),
+                    room: Room::default(),
+                    tables: Tables::default().follow(&policy, Time::ZERO),
                     tickets: BTreeMap::new(),
                     fifo: VecDeque::new(),
                     running: 0,
-                    reported: vec![0; count],
+                    reported: vec![(0, 0); count],
                     sent: vec![0; count],
-                    cuts: deployment
-                        .services
-                        .iter()
-                        .map(|_| Cuts::follow(None, rates.len(), Time::ZERO))
-                        .collect(),
-                    retries: deployment
-                        .services
-                        .iter()
-                        .map(|_| Bucket::full(0.0, RETRY_BURST, Time::ZERO))
-                        .collect(),
+                    retries: vec![
+                        Bucket::full(0.0, RETRY_BURST, Time::ZERO);
+                        deployment.services.len()
+                    ],
                     epoch: 0,
                     down: false,
                 });
             }
         }
-        Self {
+        let mut world = Self {
             now: Time::ZERO,
             deployment,
+            policy,
             naive,
             slowed: 1.0,
             vms,
@@ -107,7 +118,9 @@
             calls: Vec::new(),
             quarantine: Quarantine::default(),
             crashes: 0,
-        }
+        };
+        world.at(Time::ZERO, Event::Decide);
+        world
     }
 
     /// Makes the bottleneck slower by this factor.
@@ -115,6 +128,32 @@
         self.slowed = factor;
     }
 
+    /// How the bottleneck's instances are doing, and what the first entry knows of it.
+    pub fn trace(&mut self) -> String {
+        let bottleneck = self.deployment.bottleneck;
+        let mut text = String::new();
+        for vm in self.vms.iter_mut().filter(|vm| vm.service == bottleneck) {
+            let guard = &vm.intake.guard;
+            let mean = guard.mean_service().as_secs_f64() * 1e3;
+            let _ = write!(
+                text,
+                "[{:>2} run {:>3} wait, {mean:>4.1} ms] ",
+                guard.in_flight(),
+                guard.queued()
+            );
+        }
+        let entry = &self.vms[0].feedback;
+        let service = self.deployment.services[bottleneck].name;
+        let level = entry.levels(self.now).get(service).copied().unwrap_or(0.0);
+        let _ = write!(text, "entry {level:.2}, refuses");
+        for (route, spec) in self.deployment.routes.iter().enumerate().filter(|(_, s)| s.rate > 0.0)
+        {
+            let share = entry.refused(route, Some(gypsumtack::document::CustomerId::new(0)));
+            let _ = write!(text, " {} {share:.2}", spec.name);
+        }
+        text
+    }
+
     pub fn request(&self, root: RootId) -> Request {
         self.roots[root].request
     }
@@ -151,131 +190,153 @@
             Event::Arrive(request) => self.arrive(request),
             Event::Offer(frame) => self.offer(frame),
             Event::Worked(frame, epoch) => self.worked(frame, epoch),
-            Event::Answered(frame, whole, level) => self.answered(frame, whole, level),
+            Event::Answered(frame, whole) => self.answered(frame, whole),
             Event::WaitOver(frame, ticket) => self.wait_over(frame, ticket),
             Event::Deadline(root) => self.deadline(root),
             Event::Restart(vm) => self.restart(vm),
+            Event::Decide => {
+                self.ask_around();
+                for vm in &self.vms {
+                    vm.feedback.decide(&self.policy, &vm.tables, self.now);
+                }
+                self.at(self.now + DECIDE_PERIOD, Event::Decide);
+            }
         }
     }
 
-    pub(super) fn importance(&self, root: RootId) -> Importance {
-        self.deployment.routes[self.roots[root].request.route].importance
-    }
-
     fn arrive(&mut self, request: Request) {
         let root = self.roots.len();
-        self.roots.push(Root { request, passed: 1.0, open: true, frames: Vec::new() });
+        self.roots.push(Root { request, open: true, frames: Vec::new() });
         self.spent.push([0.0; 2]);
         self.attempts.push(0);
         self.calls.push(0);
         let entry = self.rng.random_range(0..self.vms.len());
-        let service = self.deployment.routes[request.route].service;
         if !self.naive {
-            if self.refuses(entry, root) || self.is_quarantined(root) {
-                return self.end(root, End::Shed);
+            if let Some(back) = self.refuses(entry, request) {
+                return self.end(root, End::Refused(back));
+            }
+            if self.is_quarantined(root) {
+                return self.end(root, End::Failed);
             }
             if self.buckets[request.customer.index()].take(1.0, self.now).is_err() {
                 return self.end(root, End::OverRate);
             }
         }
         self.at(request.deadline, Event::Deadline(root));
-        self.call(root, None, entry, service, ALLOWANCE);
+        self.call(root, None, entry, request.route);
+    }
+
+    /// When a request should come back that the entry refuses for want of room deeper.
+    fn refuses(&mut self, entry: usize, request: Request) -> Option<Time> {
+        let spec = &self.deployment.routes[request.route];
+        let vm = &self.vms[entry];
+        let customer = Some(request.customer);
+        if let Some(state) = vm.tables.routes.get(spec.name) {
+            state.offered(customer, self.now);
+        }
+        let share = vm.feedback.refused(request.route, customer);
+        let refused = share > 0.0 && self.rng.random::<f32>() < share;
+        let objective = Duration::from_millis(spec.objective_ms);
+        let span = (objective / 2).min(request.deadline.since(self.now) / 3);
+        refused.then(|| self.now + span.mul_f64(self.rng.random_range(0.4..1.0)))
     }
 
-    fn call(
-        &mut self,
-        root: RootId,
-        parent: Option<FrameId>,
-        daemon: usize,
-        service: usize,
-        allowance: u32,
-    ) {
+    fn call(&mut self, root: RootId, parent: Option<FrameId>, daemon: usize, route: usize) {
         let frame = self.frames.len();
         self.frames.push(Frame {
             root,
             parent,
             daemon,
-            service,
+            route,
             tried: BTreeSet::new(),
-            ledger: Ledger::new(allowance),
-            lent: 0,
             state: Stage::Over,
-            next_call: 0,
+            made: 0,
+            answered: 0,
             began: self.now,
-            level: 0.0,
             crashed: false,
+            refused: false,
         });
         self.roots[root].frames.push(frame);
         self.calls[root] += 1;
+        if parent.is_some() {
+            let name = self.deployment.routes[route].name;
+            lock(&self.vms[daemon].feedback.fanout).call(name, self.now);
+        }
         self.attempt(frame);
     }
 
     fn attempt(&mut self, frame: FrameId) {
-        let (daemon, service) = (self.frames[frame].daemon, self.frames[frame].service);
-        let tried = &self.frames[frame].tried;
+        let f = &self.frames[frame];
+        let (daemon, spec) = (f.daemon, &self.deployment.routes[f.route]);
+        let service = spec.service;
         let all = || self.vms.iter().enumerate().filter(|(_, vm)| vm.service == service);
         let target = if self.naive {
             let places: Vec<usize> = all().map(|(index, _)| index).collect();
-            places[self.rng.random_range(0..places.len())]
+            Some(places[self.rng.random_range(0..places.len())])
         } else {
-            let near = self.vms[daemon].domain;
             let own = &self.vms[daemon];
             let candidates: Vec<Candidate> = all()
-                .filter(|(index, vm)| !tried.contains(index) && !vm.down)
+                .filter(|(index, vm)| !f.tried.contains(index) && !vm.down)
                 .map(|(index, vm)| Candidate {
                     index,
-                    local: vm.domain == near,
-                    load: own.reported[index].max(own.sent[index]),
-                    slots: self.deployment.services[service].slots as u32,
+                    local: vm.domain == own.domain,
+                    load: own.reported[index].0.max(own.sent[index]),
+                    slots: vm.intake.guard.slots() as u32,
+                    mean: Duration::from_micros(u64::from(own.reported[index].1)),
+                    failing: 0.0,
                 })
                 .collect();
-            let Some(target) = router::choose(&candidates, &mut self.rng) else {
-                return self.at(self.now, Event::Answered(frame, false, 0.0));
-            };
-            target
+            let objective = Duration::from_millis(spec.objective_ms);
+            router::choose(&candidates, objective, &mut self.rng)
+        };
+        let Some(target) = target else {
+            return self.at(self.now, Event::Answered(frame, false));
         };
         self.vms[daemon].sent[target] += 1;
         let f = &mut self.frames[frame];
         f.tried.insert(target);
-        f.lent = f.ledger.lend();
-        f.next_call = 0;
+        (f.made, f.answered, f.refused) = (0, 0, false);
         f.state = Stage::Sent(target);
         self.attempts[f.root] += 1;
-        let hop = Duration::from_micros(self.deployment.hop_us);
+        let hop = self.hop(daemon, target);
         self.at(self.now + hop, Event::Offer(frame));
     }
 
+    fn hop(&self, from: usize, to: usize) -> Duration {
+        let (near, far) = self.deployment.hop_us;
+        let same = self.vms[from].domain == self.vms[to].domain;
+        Duration::from_micros(if same { near } else { far })
+    }
+
     fn offer(&mut self, frame: FrameId) {
         let Stage::Sent(vm) = self.frames[frame].state else { return };
         if self.vms[vm].down {
             return self.answer(frame, vm, false);
         }
-        let root = self.frames[frame].root;
+        let (root, route) = (self.frames[frame].root, self.frames[frame].route);
         let request = self.roots[root].request;
         if self.naive {
             self.vms[vm].fifo.push_back(frame);
             self.frames[frame].state = Stage::Waiting(vm, Ticket::default());
             return self.start_fifo(vm);
         }
+        let spec = &self.deployment.routes[route];
+        let begun = self.frames[frame].parent.is_some();
+        // Calls come without their caller's customer.
+        let customer =
+            if begun { gypsumtack::document::CustomerId::new(99) } else { request.customer };
         let work = Work {
-            customer: request.customer,
-            weight: request.weight,
-            importance: self.importance(root),
-            begun: self.frames[frame].parent.is_some(),
+            customer,
+            weight: if begun { 1 } else { request.weight },
+            importance: spec.importance,
+            objective: Duration::from_millis(spec.objective_ms),
+            begun,
             deadline: request.deadline,
         };
-        let (offer, released) = self.vms[vm].guard.offer(work, self.now);
-        let offered = Offered {
-            customer: work.customer,
-            weight: work.weight,
-            importance: work.importance,
-            passed: self.roots[root].passed,
-            shed: matches!(offer, Offer::Refuse(_)),
-        };
-        self.vms[vm].levels.offered(offered, self.now);
+        let (offer, released) = self.vms[vm].intake.guard.offer(work, self.now);
         match offer {
             Offer::Run(_) => self.start(frame, vm),
-            Offer::Refuse(_) => self.answer(frame, vm, false),
+            Offer::Refuse(_) => self.refuse(frame, vm),
             Offer::Wait(ticket) => {
                 self.vms[vm].tickets.insert(ticket, frame);
                 self.frames[frame].state = Stage::Waiting(vm, ticket);
@@ -286,10 +347,15 @@
         self.release(vm, released);
     }
 
+    fn refuse(&mut self, frame: FrameId, vm: usize) {
+        self.frames[frame].refused = true;
+        self.answer(frame, vm, false);
+    }
+
     fn release(&mut self, vm: usize, released: Released) {
         for shed in released.shed {
             if let Some(frame) = self.vms[vm].tickets.remove(&shed.ticket) {
-                self.answer(frame, vm, false);
+                self.refuse(frame, vm);
             }
         }
         for ticket in released.start {
@@ -303,7 +369,6 @@
         let slots = self.deployment.services[self.vms[vm].service].slots;
         while self.vms[vm].running < slots {
             let Some(frame) = self.vms[vm].fifo.pop_front() else { return };
-            self.vms[vm].running += 1;
             self.start(frame, vm);
         }
     }
@@ -311,31 +376,42 @@
     fn start(&mut self, frame: FrameId, vm: usize) {
         self.frames[frame].state = Stage::Running(vm);
         self.frames[frame].began = self.now;
-        let service = self.vms[vm].service;
-        let slowed = if service == self.deployment.bottleneck { self.slowed } else { 1.0 };
-        let mean = self.deployment.services[service].own_ms as f64 / 1_000.0 * slowed;
-        let time = Duration::from_secs_f64(mean * self.rng.random_range(0.5..1.5));
+        self.vms[vm].running += 1;
+        let route = &self.deployment.routes[self.frames[frame].route];
+        if !self.naive {
+            lock(&self.vms[vm].feedback.fanout).begin(route.name, self.now);
+        }
+        let spec = &self.deployment.services[route.service];
+        let slowed = if route.service == self.deployment.bottleneck { self.slowed } else { 1.0 };
+        let crowded = self.vms[vm].running as f64 > spec.slots as f64 * CROWDED;
+        let crowded = if crowded { spec.crowded } else { 1.0 };
+        let work = log_normal(route.work_ms, route.spread, &mut self.rng);
+        let time = Duration::from_secs_f64(work / 1_000.0 * slowed * crowded / self.vms[vm].speed);
         let epoch = self.vms[vm].epoch;
         self.at(self.now + time, Event::Worked(frame, epoch));
     }
 
-    /// The instance has done its own work: call on, or answer.
+    /// The instance has done its own work, or a call has been answered: call on, or answer.
     fn worked(&mut self, frame: FrameId, epoch: u32) {
         let Stage::Running(vm) = self.frames[frame].state else { return };
         if self.vms[vm].epoch != epoch {
             return;
         }
-        let root = self.frames[frame].root;
+        let (root, f) = (self.frames[frame].root, &self.frames[frame]);
         if self.roots[root].request.crashes {
             return self.crash(vm);
         }
-        let calls = self.deployment.services[self.vms[vm].service].calls;
-        let Some(&next) = calls.get(self.frames[frame].next_call) else {
+        let Some(calls) = self.deployment.routes[f.route].calls else {
             return self.finish(frame, vm, true);
         };
-        self.frames[frame].next_call += 1;
-        let allowance = self.frames[frame].lent;
-        self.call(root, Some(frame), vm, next, allowance);
+        if f.answered == calls.times {
+            return self.finish(frame, vm, true);
+        }
+        let at_once = if calls.together { calls.times } else { f.answered + 1 };
+        while self.frames[frame].made < at_once {
+            self.frames[frame].made += 1;
+            self.call(root, Some(frame), vm, calls.route);
+        }
     }
 
     /// Gives the slot back and answers.
@@ -349,39 +425,79 @@
         let span = self.now.since(self.frames[frame].began);
         let place = usize::from(service != self.deployment.bottleneck);
         self.spent[self.frames[frame].root][place] += span.as_secs_f64();
+        self.vms[vm].running = self.vms[vm].running.saturating_sub(1);
         if self.naive {
-            self.vms[vm].running -= 1;
-            self.start_fifo(vm);
-        } else {
-            let released = self.vms[vm].guard.finish(whole.then_some(span));
-            self.release(vm, released);
+            return self.start_fifo(vm);
         }
+        let name = self.deployment.routes[self.frames[frame].route].name;
+        lock(&self.vms[vm].feedback.fanout).end(name, self.now);
+        let released = self.vms[vm].intake.finish(name, whole.then_some(span));
+        self.release(vm, released);
     }
 
     /// Sends an attempt's answer back to the daemon that made it.
     pub(super) fn answer(&mut self, frame: FrameId, vm: usize, whole: bool) {
         self.frames[frame].state = Stage::Over;
-        let root = self.frames[frame].root;
-        let (customer, importance) = (self.roots[root].request.customer, self.importance(root));
-        let (now, target) = (self.now, &mut self.vms[vm]);
-        let idle = target.guard.idle();
-        let level = target.levels.share(customer, importance, idle, now);
-        let load = (target.guard.in_flight() + target.guard.queued()) as u32;
         let daemon = self.frames[frame].daemon;
-        self.vms[daemon].reported[vm] = load;
-        self.vms[daemon].sent[vm] -= 1;
-        let hop = Duration::from_micros(self.deployment.hop_us);
-        self.at(self.now + hop, Event::Answered(frame, whole, level));
+        self.vms[daemon].sent[vm] = self.vms[daemon].sent[vm].saturating_sub(1);
+        if !self.naive && !self.vms[vm].down {
+            self.report(self.frames[frame].route, vm, daemon);
+        }
+        let hop = self.hop(daemon, vm);
+        self.at(self.now + hop, Event::Answered(frame, whole));
     }
 
-    fn answered(&mut self, frame: FrameId, whole: bool, level: f32) {
-        let (root, service) = (self.frames[frame].root, self.frames[frame].service);
+    /// Entries tell services how much work they are offered for them.
+    fn ask_around(&mut self) {
+        if self.naive {
+            return;
+        }
+        for daemon in 0..self.vms.len() {
+            let own = &self.vms[daemon];
+            for (service, work) in own.feedback.due(&self.policy, &own.tables, self.now) {
+                let name = self.vms[daemon].name.clone();
+                let Some(at) = self.deployment.services.iter().position(|s| s.name == service)
+                else {
+                    continue;
+                };
+                let instances = || (0..self.vms.len()).filter(|&vm| self.vms[vm].service == at);
+                let Some(first) = instances().find(|&vm| !self.vms[vm].down) else { continue };
+                let up = instances().filter(|&vm| !self.vms[vm].down).count();
+                let slots = (self.deployment.services[at].slots * up) as f64 * FILLED;
+                let wait = self.vms[first].intake.guard.backlog();
+                let verdict =
+                    self.vms[first].room.ask(&name, work, Capacity { slots, wait }, self.now);
+                self.vms[daemon].feedback.hear(&service, verdict, self.now);
+            }
+        }
+    }
+
+    /// What goes back with an answer. It is taken to arrive at once.
+    fn report(&mut self, route: usize, vm: usize, daemon: usize) {
+        let spec = &self.deployment.routes[route];
+        let target = &self.vms[vm];
+        let observed = target.intake.observe(spec.name);
+        let load = observed.load;
+        let mut reach = target.feedback.reach_below(&target.tables, spec.name);
+        reach.push(Reach {
+            service: self.deployment.services[spec.service].name.to_owned(),
+            work_ms: observed.hold.as_secs_f32() * 1_000.0,
+        });
+        let source = target.name.clone();
+        let own = &mut self.vms[daemon];
+        own.reported[vm] = (load.in_flight + load.queued, load.mean_us);
+        let Some(state) = own.tables.routes.get(spec.name) else { return };
+        if state.is_curious(&source, self.now) {
+            state.learn(&reach);
+        }
+    }
+
+    fn answered(&mut self, frame: FrameId, whole: bool) {
+        let root = self.frames[frame].root;
         if !self.roots[root].open && !self.naive {
             return;
         }
-        let f = &mut self.frames[frame];
-        f.level = f.level.max(level);
-        f.ledger.give_back(f.lent);
+        let service = self.deployment.routes[self.frames[frame].route].service;
         let daemon = self.frames[frame].daemon;
         self.note_crash(frame);
         if whole {
@@ -389,20 +505,19 @@
         } else if self.retries(frame) {
             return self.attempt(frame);
         }
-        self.learn(frame);
+        let refused = self.frames[frame].refused;
         match self.frames[frame].parent {
-            None => self.end(root, if whole { End::Whole } else { End::Shed }),
-            Some(parent) if whole => {
-                let epoch = match self.frames[parent].state {
-                    Stage::Running(vm) => self.vms[vm].epoch,
-                    _ => return,
-                };
-                self.worked(parent, epoch);
-            }
+            None if whole => self.end(root, End::Whole),
+            None if refused => self.end(root, End::Refused(self.now)),
+            None => self.end(root, End::Failed),
             Some(parent) => {
-                if let Stage::Running(vm) = self.frames[parent].state {
-                    self.finish(parent, vm, false);
+                let Stage::Running(vm) = self.frames[parent].state else { return };
+                if !whole {
+                    return self.finish(parent, vm, false);
                 }
+                self.frames[parent].answered += 1;
+                let epoch = self.vms[vm].epoch;
+                self.worked(parent, epoch);
             }
         }
     }
@@ -414,32 +529,27 @@
         }
         let f = &self.frames[frame];
         if self.naive {
-            return f.tried.len() < NAIVE_ATTEMPTS && self.calls_left(frame);
+            return f.tried.len() < NAIVE_ATTEMPTS && self.now < self.roots[root].request.deadline;
         }
         let left = self.roots[f.root].request.deadline.since(self.now);
-        let refused = f.next_call == 0;
-        let outcome = if f.crashed { Outcome::Unknown } else { Outcome::NotRun };
-        let failure = Failure { outcome, elsewhere: refused, left };
-        let other = f.tried.len() < self.deployment.services[f.service].instances;
-        let bucket = &mut self.vms[f.daemon].retries[f.service];
-        failure.may_retry(true) && other && bucket.take(1.0, self.now).is_ok() && f.ledger.spend()
-    }
-
-    fn calls_left(&self, frame: FrameId) -> bool {
-        let root = self.frames[frame].root;
-        self.now < self.roots[root].request.deadline
+        let outcome = if f.refused { Outcome::NotRun } else { Outcome::Unknown };
+        let failure = Failure { outcome, elsewhere: f.refused || f.crashed, left };
+        let spec = &self.deployment.routes[f.route];
+        let other = f.tried.len() < self.deployment.services[spec.service].instances.len();
+        let bucket = &mut self.vms[f.daemon].retries[spec.service];
+        failure.may_retry(spec.idempotent)
+            && other
+            && f.tried.len() < ATTEMPTS
+            && (f.refused || bucket.take(1.0, self.now).is_ok())
     }
 
     fn wait_over(&mut self, frame: FrameId, ticket: Ticket) {
         let Stage::Waiting(vm, waiting) = self.frames[frame].state else { return };
-        if waiting != ticket || !self.vms[vm].guard.cancel(ticket) {
+        if waiting != ticket || !self.vms[vm].intake.guard.cancel(ticket) {
             return;
         }
         self.vms[vm].tickets.remove(&ticket);
-        let root = self.frames[frame].root;
-        let importance = self.importance(root);
-        self.vms[vm].levels.displaced(importance);
-        self.answer(frame, vm, false);
+        self.refuse(frame, vm);
     }
 
     /// The caller stops waiting. The policy cancels everything below; the baseline works on.
@@ -447,27 +557,26 @@
         if !self.roots[root].open {
             return;
         }
-        self.end(root, End::Shed);
+        self.end(root, End::Failed);
         if self.naive {
             return;
         }
         for frame in self.roots[root].frames.clone() {
             let daemon = self.frames[frame].daemon;
-            match self.frames[frame].state {
+            let state = std::mem::replace(&mut self.frames[frame].state, Stage::Over);
+            match state {
                 Stage::Waiting(vm, ticket) => {
-                    self.vms[vm].guard.cancel(ticket);
+                    self.vms[vm].intake.guard.cancel(ticket);
                     self.vms[vm].tickets.remove(&ticket);
                     self.vms[daemon].sent[vm] -= 1;
                 }
                 Stage::Running(vm) => {
                     self.vms[daemon].sent[vm] -= 1;
-                    self.frames[frame].state = Stage::Over;
                     self.free(frame, vm, false);
                 }
                 Stage::Sent(vm) => self.vms[daemon].sent[vm] -= 1,
                 Stage::Over => {}
             }
-            self.frames[frame].state = Stage::Over;
         }
     }
 
@@ -477,3 +586,20 @@
         }
     }
 }
+
+pub(super) fn intake(slots: usize) -> Intake {
+    let mut intake = Intake::new(LONGEST_WAIT);
+    intake.guard.set_slots(slots - slots.div_ceil(SPARE));
+    intake
+}
+
+fn lock<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    gypsumtack::sync::lock(mutex)
+}
+
+/// Work with this mean, and this standard deviation of its logarithm.
+fn log_normal(mean: f64, spread: f64, rng: &mut SmallRng) -> f64 {
+    let (a, b): (f64, f64) = (rng.random_range(f64::MIN_POSITIVE..1.0), rng.random());
+    let normal = (-2.0 * a.ln()).sqrt() * (std::f64::consts::TAU * b).cos();
+    mean * (spread * normal - spread * spread / 2.0).exp()
+}
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -5,7 +5,6 @@
 
 mod crash;
 mod deployment;
-mod entry;
 mod fakes;
 mod measure;
 mod parts;
@@ -18,7 +17,8 @@
 use serde::Serialize;
 use situations::Situation;
 
-const USAGE: &str = "usage: policy [--deployment casablanca|ulaanbaatar] [--seed N] [--json]";
+const USAGE: &str = "usage: policy [--deployment casablanca|ulaanbaatar] [--seed N] [--json]\n       \
+                     [--situation NAME] [--trace]";
 
 /// One situation, both ways.
 #[derive(Debug, Serialize)]
@@ -34,6 +34,9 @@
     deployments: Vec<Deployment>,
     seed: u64,
     json: bool,
+    situation: Option<String>,
+    /// Whether the bottleneck is shown every quarter of a second.
+    trace: bool,
 }
 
 fn main() -> ExitCode {
@@ -43,8 +46,13 @@
     };
     let mut lines = Vec::new();
     for deployment in &options.deployments {
-        for situation in Situation::all() {
-            let run = |naive| situations::run(deployment, &situation, naive, options.seed);
+        let all = Situation::all().into_iter();
+        let asked = |s: &Situation| options.situation.as_ref().is_none_or(|name| s.name == name);
+        for situation in all.filter(asked) {
+            let run = |naive: bool| {
+                let trace = options.trace && !naive;
+                situations::run(deployment, &situation, naive, options.seed, trace)
+            };
             let (policy, baseline) = (run(false), run(true));
             let line =
                 Line { deployment: deployment.name, situation: situation.name, policy, baseline };
@@ -69,10 +77,14 @@
         deployments: vec![deployment::casablanca(), deployment::ulaanbaatar()],
         seed: 1,
         json: false,
+        situation: None,
+        trace: false,
     };
     while let Some(arg) = args.next() {
         match arg.as_str() {
             "--json" => options.json = true,
+            "--trace" => options.trace = true,
+            "--situation" => options.situation = Some(args.next()?),
             "--seed" => options.seed = args.next()?.parse().ok()?,
             "--deployment" => {
                 let name = args.next()?;
--- a/examples/policy/measure.rs
+++ b/examples/policy/measure.rs
@@ -1,6 +1,7 @@
 //! The figures of one run.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use gypsumtack::document::Importance;
 use serde::Serialize;
@@ -16,10 +17,12 @@
 const SETTLE_MS: u64 = 1_000;
 
 /// The figures of one run.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Figures {
-    /// Whole requests during the trigger, as a fraction of what the bottleneck can do.
+    /// Work of whole requests at the bottleneck during the trigger, as a part of what it can do.
     pub goodput: f64,
+    /// What callers got of the worth that they asked for during the whole trigger.
+    pub worth: f64,
     /// Seconds from the end of the trigger to 95% of what is then offered.
     pub recovery_s: f64,
     /// The worst-served customer's part of its due.
@@ -36,46 +39,42 @@
     pub most_retries: u32,
 }
 
+/// What became of one request, however often its caller sent it.
 struct Outcome {
     customer: usize,
     importance: Importance,
     window: u64,
+    /// Its work at the bottleneck, in seconds of a slot.
+    cost: f64,
     whole: bool,
     over_rate: bool,
-    resent: bool,
+    worth: f64,
+    earned: f64,
 }
 
 pub fn figures(world: &World<'_>, deployment: &Deployment, situation: &Situation) -> Figures {
-    let outcomes: Vec<Outcome> = world
-        .ended
-        .iter()
-        .map(|&(root, _, end)| {
-            let request = world.request(root);
-            Outcome {
-                customer: request.customer.index(),
-                importance: deployment.routes[request.route].importance,
-                window: request.sent.as_micros() / 1_000 / WINDOW_MS,
-                whole: end == End::Whole,
-                over_rate: end == End::OverRate,
-                resent: request.resent > 0,
-            }
-        })
-        .collect();
-    let trigger = (CALM_MS + SETTLE_MS) / WINDOW_MS..(CALM_MS + TRIGGER_MS) / WINDOW_MS;
-    let during: Vec<&Outcome> = outcomes.iter().filter(|o| trigger.contains(&o.window)).collect();
+    let outcomes = outcomes(world, deployment);
+    let window = |ms: u64| ms / WINDOW_MS;
+    let within = |from: u64| -> Vec<&Outcome> {
+        let span = window(from)..window(CALM_MS + TRIGGER_MS);
+        outcomes.iter().filter(|o| span.contains(&o.window)).collect()
+    };
+    let (all, during) = (within(CALM_MS), within(CALM_MS + SETTLE_MS));
     let seconds = (TRIGGER_MS - SETTLE_MS) as f64 / 1_000.0;
     let can = deployment.capacity() / situation.slowed * seconds;
-    let offered = during.iter().filter(|o| !o.over_rate && !o.resent).count() as f64;
-    let whole = during.iter().filter(|o| o.whole).count() as f64;
+    let offered: f64 = during.iter().filter(|o| !o.over_rate).map(|o| o.cost).sum();
+    let whole: f64 = during.iter().filter(|o| o.whole).map(|o| o.cost).sum();
+    let earned: f64 = all.iter().map(|o| o.earned).sum();
+    let owed: f64 = all.iter().filter(|o| !o.over_rate).map(|o| o.worth).sum();
     let tried = world.attempts.iter().zip(&world.calls);
     Figures {
         goodput: whole / can.min(offered),
+        worth: earned / owed,
         recovery_s: recovery(&outcomes),
         worst_customer: worst_customer(&during, can, situation),
-        refused_within: if situation.suffices() {
-            refused_within(&during, situation)
-        } else {
-            f64::NAN
+        refused_within: match situation.suffices() {
+            true => refused_within(&during, situation),
+            false => f64::NAN,
         },
         wasted: wasted(world),
         inversions: inversions(&during),
@@ -87,6 +86,35 @@
     }
 }
 
+fn outcomes(world: &World<'_>, deployment: &Deployment) -> Vec<Outcome> {
+    let mut all: BTreeMap<u64, Outcome> = BTreeMap::new();
+    for &(root, time, end) in &world.ended {
+        let request = world.request(root);
+        if request.crashes {
+            continue;
+        }
+        let spec = &deployment.routes[request.route];
+        let outcome = all.entry(request.id).or_insert_with(|| Outcome {
+            customer: request.customer.index(),
+            importance: spec.importance,
+            window: request.first.as_micros() / 1_000 / WINDOW_MS,
+            cost: deployment.cost(request.route),
+            whole: false,
+            over_rate: false,
+            worth: spec.worth.0,
+            earned: 0.0,
+        });
+        outcome.over_rate |= end == End::OverRate;
+        if end == End::Whole {
+            outcome.whole = true;
+            let time = time + Duration::from_millis(deployment.caller_ms);
+            let in_time = time.since(request.first) <= Duration::from_millis(spec.objective_ms);
+            outcome.earned = if in_time { spec.worth.0 } else { spec.worth.1 };
+        }
+    }
+    all.into_values().collect()
+}
+
 /// Seconds after the trigger from which every window serves 95% of what it is offered.
 fn recovery(outcomes: &[Outcome]) -> f64 {
     let end = (CALM_MS + TRIGGER_MS) / WINDOW_MS;
@@ -102,22 +130,22 @@
     bad.map_or(0.0, |bad| (bad + 1 - end) as f64 * WINDOW_MS as f64 / 1_000.0)
 }
 
-/// The least part of its due that any customer gets. Due is the weighted fair share of the capacity,
-/// class by class, and never more than what was offered.
+/// The least part of its due that any customer gets, in work at the bottleneck. Due is the weighted fair
+/// share of the capacity, class by class, and never more than what was offered.
 fn worst_customer(during: &[&Outcome], can: f64, situation: &Situation) -> f64 {
     let mut left = can;
     let mut due = [0.0; WEIGHTS.len()];
     for importance in Importance::ALL {
         let mut asked = [0.0; WEIGHTS.len()];
         for outcome in during.iter().filter(|o| o.importance == importance && !o.over_rate) {
-            asked[outcome.customer] += 1.0;
+            asked[outcome.customer] += outcome.cost;
         }
         let given = fill(&asked, left);
         left -= given.iter().sum::<f64>();
         due.iter_mut().zip(given).for_each(|(due, given)| *due += given);
     }
-    let served = |customer: usize| {
-        during.iter().filter(|o| o.customer == customer && o.whole).count() as f64
+    let served = |customer: usize| -> f64 {
+        during.iter().filter(|o| o.customer == customer && o.whole).map(|o| o.cost).sum()
     };
     let within = (0..WEIGHTS.len()).filter(|&c| situation.greed <= 1.0 || c != GREEDY);
     within.filter(|&c| due[c] > 0.0).map(|c| served(c) / due[c]).fold(f64::INFINITY, f64::min)
@@ -159,10 +187,12 @@
     1.0 - useful / total.max(f64::MIN_POSITIVE)
 }
 
-/// In each window, less important requests run beside more important ones that were shed.
+/// In each window, less important requests run beside more important ones that were shed. Only requests
+/// that need the bottleneck are compared.
 fn inversions(during: &[&Outcome]) -> f64 {
     let mut windows: BTreeMap<u64, [(u32, u32); Importance::ALL.len()]> = BTreeMap::new();
-    for outcome in during.iter().filter(|o| !o.over_rate) {
+    let compared = || during.iter().filter(|o| !o.over_rate && o.cost > 0.0);
+    for outcome in compared() {
         let (run, shed) =
             &mut windows.entry(outcome.window).or_default()[outcome.importance as usize];
         *run += u32::from(outcome.whole);
@@ -173,14 +203,15 @@
         (0..classes.len()).map(|class| classes[class].1.min(less(class))).max().unwrap_or(0)
     };
     let inverted: u32 = windows.values().map(in_window).sum();
-    f64::from(inverted) / during.len().max(1) as f64
+    f64::from(inverted) / compared().count().max(1) as f64
 }
 
 pub fn row(deployment: &str, situation: &str, kind: &str, f: &Figures) -> String {
     format!(
-        "{deployment:<12} {situation:<16} {kind:<9} goodput {:>5.3}  recovery {:>5.2} s  worst {:>5.3}  \
-         within refused {:>8.5}  wasted {:>5.3}  inversions {:>7.5}  retries {}  crashes {}",
+        "{deployment:<12} {situation:<16} {kind:<9} goodput {:>5.3}  worth {:>5.3}  recovery {:>5.2} s  \
+         worst {:>5.3}  within refused {:>8.5}  wasted {:>5.3}  inversions {:>7.5}  retries {}  crashes {}",
         f.goodput,
+        f.worth,
         f.recovery_s,
         f.worst_customer,
         f.refused_within,
--- a/examples/policy/parts.rs
+++ b/examples/policy/parts.rs
@@ -4,17 +4,23 @@
 
 use gypsumtack::bucket::Bucket;
 use gypsumtack::document::CustomerId;
-use gypsumtack::guard::{Guard, Ticket};
-use gypsumtack::level::{Cuts, Levels};
-use gypsumtack::retry::Ledger;
+use gypsumtack::feedback::Feedback;
+use gypsumtack::guard::Ticket;
+use gypsumtack::intake::Intake;
+use gypsumtack::room::Room;
+use gypsumtack::tables::Tables;
 use gypsumtack::time::Time;
 
 /// One request of a caller, as it is sent.
 #[derive(Debug, Clone, Copy)]
 pub struct Request {
+    /// Tells the request from others, however often it is sent.
+    pub id: u64,
     pub customer: CustomerId,
     pub weight: u32,
     pub route: usize,
+    /// When its caller first sent it.
+    pub first: Time,
     pub sent: Time,
     pub deadline: Time,
     /// How often its caller has sent it again.
@@ -28,7 +34,10 @@
 pub enum End {
     Whole,
     OverRate,
-    Shed,
+    /// Refused without having run, with the time after which to come back.
+    Refused(Time),
+    /// Anything else.
+    Failed,
 }
 
 pub type FrameId = usize;
@@ -39,15 +48,15 @@
     Arrive(Request),
     Offer(FrameId),
     Worked(FrameId, u32),
-    Answered(FrameId, bool, f32),
+    Answered(FrameId, bool),
     WaitOver(FrameId, Ticket),
     Deadline(RootId),
     Restart(usize),
+    Decide,
 }
 
 pub struct Root {
     pub request: Request,
-    pub passed: f32,
     pub open: bool,
     pub frames: Vec<FrameId>,
 }
@@ -57,15 +66,15 @@
     pub root: RootId,
     pub parent: Option<FrameId>,
     pub daemon: usize,
-    pub service: usize,
+    pub route: usize,
     pub tried: BTreeSet<usize>,
-    pub ledger: Ledger,
-    pub lent: u32,
     pub state: Stage,
-    pub next_call: usize,
+    /// Calls that were made, and those of them that have been answered.
+    pub made: usize,
+    pub answered: usize,
     pub began: Time,
-    pub level: f32,
     pub crashed: bool,
+    pub refused: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -78,16 +87,20 @@
 
 /// One VM: an instance, and the daemon beside it.
 pub struct Vm {
+    pub name: String,
     pub service: usize,
     pub domain: usize,
-    pub guard: Guard,
-    pub levels: Levels,
+    pub speed: f64,
+    pub intake: Intake,
+    pub feedback: Feedback,
+    pub room: Room,
+    pub tables: Tables,
     pub tickets: BTreeMap<Ticket, FrameId>,
     pub fifo: VecDeque<FrameId>,
     pub running: usize,
-    pub reported: Vec<u32>,
+    /// What the answers of each VM said of its load, and of the time that it takes.
+    pub reported: Vec<(u32, u32)>,
     pub sent: Vec<u32>,
-    pub cuts: Vec<Cuts>,
     pub retries: Vec<Bucket>,
     pub epoch: u32,
     pub down: bool,
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -9,15 +9,16 @@
 use crate::board::BackendServer;
 use crate::connection::Lost;
 use crate::document::{CustomerId, Policy};
-use crate::envelope::{Envelope, Reach, Report};
-use crate::gate::Observed;
+use crate::envelope::{Envelope, Load, Reach, Report};
 use crate::guard::Work;
+use crate::intake::Observed;
 use crate::journal;
 use crate::live::{Live, LiveEntry};
 use crate::message::{self, Answer, Message};
 use crate::metrics::GuardLabels;
 use crate::reason::{Outcome, Reason};
 use crate::shared::Shared;
+use crate::sync::lock;
 use crate::time::Time;
 
 /// What a hop keeps of the deadline, so that its refusal still reaches the caller in time.
@@ -46,12 +47,14 @@
         return refuse(shared, &envelope, Reason::SuspectRuns);
     }
     let work = work_of(shared, &envelope, deadline);
-    let mut permit = match board.gate.enter(work, envelope.passed).await {
+    let mut permit = match board.gate.enter(work, &envelope.route).await {
         Ok(permit) => permit,
         Err(reason) => return refuse(shared, &envelope, reason),
     };
     let entry = board.live.enter(Live::new(envelope.clone(), deadline));
+    let running = Running::begin(shared, &envelope.route);
     let answer = exchange(shared, &backend, &entry, message).await;
+    drop(running);
     if answer.report.outcome == Outcome::Ran {
         permit.complete();
     }
@@ -59,12 +62,47 @@
     board.learn_served(&envelope.route);
     let live = entry.live();
     let spent = envelope.allowance.saturating_sub(live.ledger.left());
-    let mut reach = live.reach();
-    let Observed { load, level } = board.gate.observe(work.customer, work.importance);
-    reach.push(Reach { service: envelope.service, level });
+    let (load, reach) = observe(shared, &envelope, live.reach());
     Answer { report: Report { request, spent, load, reach, ..answer.report }, ..answer }
 }
 
+/// Counts a request while the backend server runs it, so that its calls can be told from others'.
+struct Running<'a> {
+    shared: &'a Shared,
+    route: &'a str,
+}
+
+impl<'a> Running<'a> {
+    fn begin(shared: &'a Shared, route: &'a str) -> Self {
+        lock(&shared.board.feedback.fanout).begin(route, shared.board.clock.now());
+        Self { shared, route }
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let board = &self.shared.board;
+        lock(&board.feedback.fanout).end(self.route, board.clock.now());
+    }
+}
+
+/// The load, and where such requests lead: to this service, and to those below it that the request's own
+/// calls have named, or that calls of such requests usually reach.
+fn observe(shared: &Shared, envelope: &Envelope, named: Vec<Reach>) -> (Load, Vec<Reach>) {
+    let board = &shared.board;
+    let Observed { load, hold } = board.gate.observe(&envelope.route);
+    if !envelope.curious {
+        return (load, Vec::new());
+    }
+    let mut reach = match shared.dialect.token {
+        Some(_) => named,
+        None => board.feedback.reach_below(&board.tables.load(), &envelope.route),
+    };
+    let work_ms = hold.as_secs_f32() * 1_000.0;
+    reach.push(Reach { service: envelope.service.clone(), work_ms });
+    (load, reach)
+}
+
 /// The announced backend server, if it runs the service that is asked for and takes new work.
 fn usable_backend(shared: &Shared, envelope: &Envelope) -> Option<Arc<BackendServer>> {
     let backend = shared.board.backend.load_full()?;
@@ -82,6 +120,7 @@
         customer: id.unwrap_or(OPEN_CUSTOMER),
         weight: id.map_or(1, |id| policy.customer(id).weight),
         importance: envelope.importance,
+        objective: Duration::from_millis(u64::from(envelope.objective)),
         begun: envelope.hops > 0,
         deadline,
     }
@@ -97,9 +136,7 @@
             .customer(envelope.customer.as_deref()),
         &reason,
     );
-    let customer = customer_of(&board.policy.load(), envelope).unwrap_or(OPEN_CUSTOMER);
-    let Observed { load, level } = board.gate.observe(customer, envelope.importance);
-    let reach = vec![Reach { service: envelope.service.clone(), level }];
+    let (load, reach) = observe(shared, envelope, Vec::new());
     let mut answer = Answer::not_run(envelope.request.clone(), reason);
     (answer.report.load, answer.report.reach) = (load, reach);
     answer
--- a/src/board.rs
+++ b/src/board.rs
@@ -12,8 +12,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
-use crate::document::{CustomerId, Policy, Route, Text};
+use crate::document::{Policy, Text};
 use crate::envelope::Reach;
+use crate::feedback::Feedback;
 use crate::gate::Gate;
 use crate::instance::Instances;
 use crate::journal::Journal;
@@ -22,6 +23,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::{Fingerprint, Quarantine, Standing};
 use crate::reason::Reason;
+use crate::room::{Capacity, Room, Verdict};
 use crate::roster::Roster;
 use crate::settings::Settings;
 use crate::sync::lock;
@@ -71,16 +73,31 @@
     }
 }
 
-/// The newest that was heard of the local backend server, also after it has gone.
+/// Slots of a backend server from which some are left free: those that have few are used up.
+const FEW_SLOTS: u32 = 10;
+
+/// One slot in so many is left free, since backend servers slow down when they are nearly full.
+const SPARE_SLOTS: u32 = 20;
+
+/// The part of the slots that work can fill, those that are left free deducted.
+const FILLED: f64 = 0.94;
+
+/// The slots that are used of those that a backend server announces.
+fn usable_slots(slots: u32) -> usize {
+    let spare = if slots < FEW_SLOTS { 0 } else { slots.div_ceil(SPARE_SLOTS) };
+    (slots - spare) as usize
+}
+
+/// The newest announcement of the local backend server, remembered also after it has gone.
 #[derive(Debug, Clone, Default)]
-struct Heard {
+struct Announced {
     id: String,
     started: u64,
     sequence: u64,
     left: bool,
 }
 
-impl Heard {
+impl Announced {
     /// Whether an announcement is older than what was heard: of an earlier start, late, or from one
     /// that has said that it leaves for good.
     fn outranks(&self, backend: &BackendServer) -> bool {
@@ -125,13 +142,16 @@
     pub instances: ArcSwap<Instances>,
     /// What the local backend server announced.
     pub backend: ArcSwapOption<BackendServer>,
-    heard: Mutex<Heard>,
+    announced: Mutex<Announced>,
     /// Admission to the local backend server.
     pub gate: Arc<Gate>,
     /// Requests that run on the local backend server.
     pub live: LiveTable,
     /// Who shares the customers' rates. The roster controller writes it.
     pub roster: ArcSwap<Roster>,
+    /// What is known of services beyond this daemon. Answers and the admission controller write it.
+    pub feedback: Feedback,
+    room: Mutex<Room>,
     /// Told whenever there is something that other daemons should hear at once.
     pub news: Notify,
     /// Where a newer document was heard of.
@@ -170,10 +190,12 @@
             view: Mutex::default(),
             instances: ArcSwap::default(),
             backend: ArcSwapOption::empty(),
-            heard: Mutex::default(),
+            announced: Mutex::default(),
             gate: Arc::new(Gate::new(clock, longest_wait)),
             live: LiveTable::default(),
             roster: ArcSwap::default(),
+            feedback: Feedback::default(),
+            room: Mutex::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
             newer_roster: watch::Sender::default(),
@@ -300,13 +322,13 @@
     /// Takes an announcement of the local backend server. One that is older than what was heard before
     /// changes nothing.
     pub fn announce(&self, backend: BackendServer) {
-        let mut heard = lock(&self.heard);
-        if heard.outranks(&backend) {
+        let mut announced = lock(&self.announced);
+        if announced.outranks(&backend) {
             let (id, sequence) = (&backend.id, backend.sequence);
             return tracing::info!(event = "announcement-outdated", id, sequence);
         }
         let (started, sequence) = (backend.started, backend.sequence);
-        *heard = Heard { id: backend.id.clone(), started, sequence, left: false };
+        *announced = Announced { id: backend.id.clone(), started, sequence, left: false };
         let known = self.backend.load();
         if known.as_ref().is_some_and(|known| known.agrees(&backend)) {
             return;
@@ -323,7 +345,7 @@
             draining = backend.draining,
         );
         // A backend server that drains keeps its slots for what is already here.
-        let slots = backend.slots as usize;
+        let slots = usable_slots(backend.slots);
         self.backend.store(Some(Arc::new(backend)));
         self.gate.set_slots(slots);
         self.publish_self();
@@ -332,11 +354,11 @@
     /// Takes the word of the local backend server that it leaves for good: it gets nothing new, and a
     /// late announcement does not bring it back.
     pub fn withdraw(&self, id: &str, started: u64) {
-        let mut heard = lock(&self.heard);
-        if heard.id != id || (started != 0 && started != heard.started) {
+        let mut announced = lock(&self.announced);
+        if announced.id != id || (started != 0 && started != announced.started) {
             return;
         }
-        heard.left = true;
+        announced.left = true;
         tracing::info!(event = "backend-withdrawn", id);
         let Some(known) = self.backend.load_full() else { return };
         self.close_soon();
@@ -452,19 +474,27 @@
         share.is_some_and(|share| share.holding().lend(self.clock.now()))
     }
 
-    /// Learns from an answer: where the route leads, and how much those services refuse.
-    pub fn learn(&self, route: &Route, customer: Option<CustomerId>, reach: &[Reach]) {
-        let tables = self.tables.load();
-        let now = self.clock.now();
-        for one in reach {
-            if let Some(cuts) = tables.cuts.get(&one.service) {
-                cuts.of(customer, route.importance).note(one.level, now);
-            }
+    /// Learns from an answer where requests of the route lead.
+    pub fn learn(&self, route: &str, reach: &[Reach]) {
+        if reach.is_empty() {
+            return;
         }
-        if let Some(route) = tables.routes.get(&route.name) {
-            route.learn(reach);
+        if let Some(state) = self.tables.load().routes.get(route) {
+            state.learn(reach);
         }
     }
+
+    /// Takes the word of the entry on `vm` how much work it is offered for the local service.
+    pub fn ask_room(&self, vm: &str, work: f64) -> Verdict {
+        let now = self.clock.now();
+        let service = self.own_service();
+        let slots: u32 = self.read_view(|view| {
+            let near = view.iter().filter(|member| member.record.service == service);
+            near.filter(|member| member.takes_work(now)).map(|member| member.record.slots).sum()
+        });
+        let capacity = Capacity { slots: f64::from(slots) * FILLED, wait: self.gate.backlog() };
+        lock(&self.room).ask(vm, work, capacity, now)
+    }
 }
 
 impl Board {
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -49,6 +49,43 @@
 /// The prefix of members' rows.
 pub const MEMBERS: &str = "member/";
 
+/// How often it is decided anew what entries refuse.
+const ADMISSION_PERIOD: Duration = Duration::from_millis(50);
+
+/// Tells services how much work is offered here for them, and decides again and again which requests this
+/// entry refuses for want of room there.
+pub async fn admission(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(ADMISSION_PERIOD).await;
+        let board = &shared.board;
+        let (policy, tables) = (board.policy.load_full(), board.tables.load_full());
+        let due = board.feedback.due(&policy, &tables, board.clock.now());
+        let asks = due.iter().map(|(service, work)| ask_room(&shared, service, *work));
+        futures::future::join_all(asks).await;
+        board.feedback.decide(&policy, &tables, board.clock.now());
+    }
+}
+
+/// Asks the first instance of a service that can be reached, so that all entries ask the same one.
+async fn ask_room(shared: &Shared, service: &str, work: f64) {
+    let board = &shared.board;
+    let now = board.clock.now();
+    let instances = board.instances.load_full();
+    let Some(first) = instances.of(service).iter().find(|instance| !instance.is_failing(now))
+    else {
+        return;
+    };
+    let verdict = if first.vm == board.settings.vm {
+        Some(board.ask_room(&first.vm, work))
+    } else {
+        shared.links.room(shared, first.control, work).await
+    };
+    match verdict {
+        Some(verdict) => board.feedback.hear(service, verdict, board.clock.now()),
+        None => first.fail(board.clock.now()),
+    }
+}
+
 /// Exchanges heartbeats with a few members, at rest and at once on news, and derives who takes work.
 pub async fn heartbeats(shared: Arc<Shared>) {
     let board = &shared.board;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -148,6 +148,7 @@
             tokio::spawn(claims::run(Arc::clone(&shared), inbox)),
             tokio::spawn(feed::run(Arc::clone(&shared))),
             tokio::spawn(peer::watch_links(Arc::clone(&shared))),
+            tokio::spawn(controllers::admission(Arc::clone(&shared))),
             tokio::spawn(controllers::heartbeats(Arc::clone(&shared))),
             tokio::spawn(controllers::registration(Arc::clone(&shared))),
             tokio::spawn(controllers::rosters(Arc::clone(&shared))),
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -89,6 +89,7 @@
         envelope: Envelope {
             hops: parent.hops + 1,
             service: service.clone(),
+            objective: parent.objective,
             claimed: parent.claimed || !route.idempotent,
             ..parent.clone()
         },
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::board::{Board, InFlight};
 use crate::claims;
 use crate::dialect::Dialect;
-use crate::document::{CustomerId, Policy, Route};
+use crate::document::{CustomerId, Policy, Route, RouteId};
 use crate::envelope::{Envelope, RequestId};
 use crate::forward::{self, Call};
 use crate::journal;
@@ -21,9 +21,14 @@
 use crate::reason::{Outcome, Reason};
 use crate::retry::Ledger;
 use crate::shared::Shared;
+use crate::sync::lock;
 use crate::tables::CustomerShare;
 use crate::time::Time;
 
+/// A caller is told to come back within this part of the time that it has left, so that enough remains
+/// for the work.
+const RETURN_PART: u32 = 3;
+
 /// How much of an unmatched path is repeated in its refusal, in characters.
 const PATH_SHOWN: usize = 100;
 
@@ -36,7 +41,7 @@
     let policy = board.policy.load_full();
     let left = time_left(&shared.dialect, &message.headers);
     let deadline = left.map_or(Time::MAX, |left| start + left);
-    let mut visit = Visit { id, start, deadline, route: None, customer: None, passed: 1.0 };
+    let mut visit = Visit { id, start, deadline, route: None, customer: None, is_call: false };
     let answer = match admit(&shared, &policy, &mut visit, &mut message).await {
         Ok(()) => pass(&shared, &policy, &visit, message).await,
         Err(reason) => Answer::not_run(visit.id.clone(), reason),
@@ -64,7 +69,8 @@
     deadline: Time,
     route: Option<&'a Route>,
     customer: Option<CustomerId>,
-    passed: f32,
+    /// Whether the local backend server made it for a request that it runs.
+    is_call: bool,
 }
 
 /// Decides whether a request enters, and takes off what goes no further.
@@ -82,14 +88,21 @@
     let Some(route) = policy.route(message.host(), message.method.as_str(), path) else {
         return Err(Reason::UnknownRoute { path: path.chars().take(PATH_SHOWN).collect() });
     };
-    let route = policy.route_at(route);
+    let place = route;
+    let route = policy.route_at(place);
     visit.route = Some(route);
     visit.deadline = visit.deadline.min(visit.start + route.deadline);
+    // Where calls carry no token, they come on routes that need no key.
+    visit.is_call = route.open && shared.dialect.token.is_none();
     visit.customer = identify(&shared.dialect, policy, route, &message.headers)?;
     if let Some(customer) = visit.customer {
         check_isolation(board, policy, customer)?;
     }
-    visit.passed = pass_levels(board, route, visit.customer)?;
+    if visit.is_call {
+        lock(&board.feedback.fanout).call(&route.name, visit.start);
+    } else {
+        pass_levels(board, visit, place)?;
+    }
     if let Some(customer) = visit.customer {
         take_token(shared, policy, customer).await?;
     }
@@ -129,27 +142,27 @@
     Err(Reason::Isolated { seconds: span.as_secs() })
 }
 
-/// Refuses here what a service on the route's way would refuse later. Returns the probability with
-/// which such a request passes.
-fn pass_levels(board: &Board, route: &Route, customer: Option<CustomerId>) -> Result<f32, Reason> {
-    let tables = board.tables.load();
-    let Some(reach) = tables.routes.get(&route.name) else { return Ok(1.0) };
+/// Refuses here what would only take room from other requests deeper. Calls of backend servers are part
+/// of work that has begun, and are never refused here.
+fn pass_levels(board: &Board, visit: &Visit<'_>, place: RouteId) -> Result<(), Reason> {
     let now = board.clock.now();
-    let mut highest = (0.0, "");
-    let services = reach.services();
-    for service in services.iter() {
-        let Some(cuts) = tables.cuts.get(service) else { continue };
-        let level = cuts.of(customer, route.importance).at(now);
-        if level > highest.0 {
-            highest = (level, service);
-        }
+    let Some(route) = visit.route else { return Ok(()) };
+    if let Some(state) = board.tables.load().routes.get(&route.name) {
+        state.offered(visit.customer, now);
     }
-    let (level, service) = highest;
-    if level <= 0.0 || rand::rng().random::<f32>() >= level {
-        return Ok(1.0 - level);
+    let share = board.feedback.refused(place.index(), visit.customer);
+    if share <= 0.0 || rand::rng().random::<f32>() >= share {
+        return Ok(());
     }
-    let refused = (level * 100.0) as u64;
-    Err(Reason::Overloaded { service: service.to_owned(), refused })
+    let wait = come_back(route, visit.deadline.since(now));
+    Err(Reason::Overloaded { refused: (share * 100.0) as u64, wait: wait.as_millis() as u64 })
+}
+
+/// When a request that was refused for want of room should come back: while its answer would still be
+/// worth most to its caller, and spread out, so that those refused together do not return together.
+fn come_back(route: &Route, left: Duration) -> Duration {
+    let span = (route.objective / 2).min(left / RETURN_PART);
+    span.mul_f64(rand::rng().random_range(0.4..1.0))
 }
 
 /// Takes a token of this VM's share, or borrows one from another owner.
@@ -220,24 +233,23 @@
         left: 0,
         allowed: route.deadline.as_millis() as u64,
         allowance: 0,
-        hops: 0,
+        hops: u32::from(visit.is_call),
         caller: board.own_service(),
         service: policy.service(service).name.clone(),
-        passed: visit.passed,
+        objective: u32::try_from(route.objective.as_millis()).unwrap_or(u32::MAX),
+        curious: false,
         suspect: false,
         claimed: !route.idempotent,
     };
     let call =
         Call { envelope, message, service, idempotent: route.idempotent, deadline: visit.deadline };
     let ledger = Arc::new(Ledger::new(route.retries));
-    let answer = match &shared.dialect.operation {
+    match &shared.dialect.operation {
         Some(operation) if !route.idempotent => {
             claims::send_once(shared, operation, call, ledger).await
         }
         _ => forward::send(shared, &call, &ledger).await,
-    };
-    board.learn(route, visit.customer, &answer.report.reach);
-    answer
+    }
 }
 
 /// Counts the request, and writes down why it was not served.
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -105,8 +105,10 @@
     pub caller: String,
     /// The service that is to run it.
     pub service: String,
-    /// The probability with which the entry let it pass; see [`crate::level`].
-    pub passed: f32,
+    /// Within which time its answer is worth most, in milliseconds from its entry.
+    pub objective: u32,
+    /// Whether the sender wants to know where the request leads; see [`Reach`].
+    pub curious: bool,
     /// Whether a backend server died under it before; see [`crate::quarantine`].
     pub suspect: bool,
     /// Whether a claim makes sure that the request runs at most once.
@@ -122,6 +124,8 @@
     pub queued: u32,
     /// Slots in use at most.
     pub slots: u32,
+    /// How long a request holds a slot on average, in microseconds.
+    pub mean_us: u32,
 }
 
 /// What goes with an answer from daemon to daemon.
@@ -137,7 +141,7 @@
     pub load: Load,
     /// Why it was refused.
     pub reason: Option<Reason>,
-    /// Services that the request reached, with the level of each for such requests.
+    /// Services that such a request reaches, if the asker was curious.
     pub reach: Vec<Reach>,
 }
 
@@ -148,11 +152,11 @@
     }
 }
 
-/// A service that a request reached, and how many like it the service refuses now.
+/// A service that a request reaches, and what it costs there.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reach {
     /// The service's name.
     pub service: String,
-    /// The share of this customer's work of this importance that it refuses; see [`crate::level`].
-    pub level: f32,
+    /// For how long such a request holds slots there, its calls included, in milliseconds.
+    pub work_ms: f32,
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -58,7 +58,7 @@
     let mut tried = BTreeSet::new();
     let mut worst: Option<Answer> = None;
     loop {
-        let Some(instance) = choose(board, &service.name, service.ramp, &tried) else {
+        let Some(instance) = choose(board, call, &service.name, service.ramp, &tried) else {
             let known = board.instances.load().of(&service.name).len() as u64;
             let reason = Reason::NoInstance { service: service.name.clone(), known };
             return worst.unwrap_or_else(|| Answer::not_run(call.envelope.request.clone(), reason));
@@ -82,7 +82,7 @@
         let quarantined = matches!(board.standing(fingerprint), Standing::Quarantined(_));
         let again = !quarantined
             && failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
-            && has_other(board, &service.name, service.ramp, &tried)
+            && choose(board, call, &service.name, service.ramp, &tried).is_some()
             && take_retry(state.as_deref(), ledger, now);
         let answer = keep_doubt(worst.take(), answer);
         if !again {
@@ -118,6 +118,7 @@
 
 fn choose(
     board: &Board,
+    call: &Call,
     service: &str,
     ramp: Duration,
     tried: &BTreeSet<String>,
@@ -131,14 +132,11 @@
         .filter(|(_, instance)| !tried.contains(&instance.vm))
         .filter_map(|(index, instance)| instance.candidate(index, ramp, now))
         .collect();
-    let index = router::choose(&candidates, &mut rand::rng())?;
+    let objective = Duration::from_millis(u64::from(call.envelope.objective));
+    let index = router::choose(&candidates, objective, &mut rand::rng())?;
     all.get(index).cloned()
 }
 
-fn has_other(board: &Board, service: &str, ramp: Duration, tried: &BTreeSet<String>) -> bool {
-    choose(board, service, ramp, tried).is_some()
-}
-
 /// One attempt. Allowance that it did not use comes back; a lost answer counts as all spent.
 async fn attempt(
     shared: &Arc<Shared>,
@@ -154,6 +152,7 @@
         left: left.as_micros() as u64,
         allowance: lent,
         suspect,
+        curious: is_curious(shared, call, instance),
         ..call.envelope.clone()
     };
     let sent = instance.send();
@@ -168,6 +167,10 @@
     if report.load.slots > 0 {
         instance.report(report.load);
     }
+    if learns(shared, call) {
+        board.learn(&call.envelope.route, &report.reach);
+    }
+    instance.note(is_failure(&answer), board.clock.now());
     let shed = matches!(report.reason, Some(Reason::Shed { .. }));
     if shed || (answer.status == StatusCode::SERVICE_UNAVAILABLE && report.reason.is_none()) {
         instance.shed(board.clock.now());
@@ -175,6 +178,36 @@
     answer
 }
 
+/// Whether the answer tells against the instance: it broke off, shed or failed by itself. What its daemon
+/// refused does not.
+fn is_failure(answer: &Answer) -> bool {
+    match &answer.report.reason {
+        None => answer.status.is_server_error(),
+        Some(reason) => matches!(
+            reason,
+            Reason::Shed { .. }
+                | Reason::BadAnswer { .. }
+                | Reason::Crashed
+                | Reason::DeadlinePassed { .. }
+        ),
+    }
+}
+
+/// Whether this daemon learns from the answer where requests of the route lead. Calls with a token bear
+/// the route of their entry, which learns it there.
+fn learns(shared: &Shared, call: &Call) -> bool {
+    call.envelope.hops == 0 || shared.dialect.token.is_none()
+}
+
+fn is_curious(shared: &Shared, call: &Call, instance: &Instance) -> bool {
+    if !learns(shared, call) {
+        return call.envelope.curious;
+    }
+    let tables = shared.board.tables.load();
+    let state = tables.routes.get(&call.envelope.route);
+    state.is_none_or(|state| state.is_curious(&instance.vm, shared.board.clock.now()))
+}
+
 /// Sends the request to the daemon beside the instance.
 async fn remote(
     shared: &Arc<Shared>,
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -6,10 +6,9 @@
 
 use tokio::sync::oneshot;
 
-use crate::document::{CustomerId, Importance};
 use crate::envelope::Load;
-use crate::guard::{Guard, Offer, Released, Ticket, Work};
-use crate::level::{Levels, Offered};
+use crate::guard::{Offer, Released, Ticket, Work};
+use crate::intake::{Intake, Observed};
 use crate::reason::Reason;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -23,45 +22,32 @@
 
 #[derive(Debug)]
 struct State {
-    guard: Guard,
-    levels: Levels,
+    intake: Intake,
     waiters: BTreeMap<Ticket, oneshot::Sender<Option<Reason>>>,
 }
 
 impl Gate {
     /// Makes a gate without slots.
     pub fn new(clock: Clock, longest_wait: Duration) -> Self {
-        let state = State {
-            guard: Guard::new(longest_wait),
-            levels: Levels::default(),
-            waiters: BTreeMap::new(),
-        };
+        let state = State { intake: Intake::new(longest_wait), waiters: BTreeMap::new() };
         Self { clock, state: Mutex::new(state) }
     }
 
-    /// Waits for a slot. `passed` is the probability with which the entry let the request pass.
+    /// Waits for a slot for a request of `route`.
     ///
     /// Dropping the future takes the request out of the queue.
     ///
     /// # Errors
     ///
     /// Returns why the request was refused; no byte of it has reached the backend server.
-    pub async fn enter(self: &Arc<Self>, work: Work, passed: f32) -> Result<Permit, Reason> {
+    pub async fn enter(self: &Arc<Self>, work: Work, route: &str) -> Result<Permit, Reason> {
         let now = self.clock.now();
         let (ticket, answer) = {
             let mut state = self.lock();
-            let (offer, released) = state.guard.offer(work, now);
-            let offered = Offered {
-                customer: work.customer,
-                weight: work.weight,
-                importance: work.importance,
-                passed,
-                shed: matches!(offer, Offer::Refuse(_)),
-            };
-            state.levels.offered(offered, now);
+            let (offer, released) = state.intake.guard.offer(work, now);
             state.deliver(released);
             match offer {
-                Offer::Run(_) => return Ok(self.permit(now)),
+                Offer::Run(_) => return Ok(self.permit(route, now)),
                 Offer::Refuse(reason) => return Err(reason),
                 Offer::Wait(ticket) => {
                     let (sender, receiver) = oneshot::channel();
@@ -71,41 +57,38 @@
             }
         };
         let place = Place { gate: self, ticket, answer: Some(answer) };
-        let result = place.wait(work.deadline).await;
-        if result.is_err() {
-            lock(&self.state).levels.displaced(work.importance);
-        }
-        result
+        place.wait(route, work.deadline).await
     }
 
     /// Sets the slots, as the backend server announces them.
     pub fn set_slots(&self, slots: usize) {
         let mut state = self.lock();
-        let released = state.guard.set_slots(slots);
+        let released = state.intake.guard.set_slots(slots);
         state.deliver(released);
     }
 
     /// Sets the bound on the wait, as the document says.
     pub fn set_longest_wait(&self, longest_wait: Duration) {
-        self.lock().guard.set_longest_wait(longest_wait);
+        self.lock().intake.guard.set_longest_wait(longest_wait);
     }
 
     /// The load now.
     pub fn load(&self) -> Load {
-        self.lock().load()
+        self.lock().intake.load()
     }
 
-    /// What goes back with an answer to this customer's work of this importance.
-    pub fn observe(&self, customer: CustomerId, importance: Importance) -> Observed {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let idle = state.guard.idle();
-        let level = state.levels.share(customer, importance, idle, now);
-        Observed { load: state.load(), level }
+    /// What goes back with an answer to a request of `route`.
+    pub fn observe(&self, route: &str) -> Observed {
+        self.lock().intake.observe(route)
+    }
+
+    /// How long a request that comes now would wait for a slot.
+    pub fn backlog(&self) -> Duration {
+        self.lock().intake.guard.backlog()
     }
 
-    fn permit(self: &Arc<Self>, since: Time) -> Permit {
-        Permit { gate: Arc::clone(self), since, whole: false }
+    fn permit(self: &Arc<Self>, route: &str, since: Time) -> Permit {
+        Permit { gate: Arc::clone(self), route: route.to_owned(), since, whole: false }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -113,24 +96,7 @@
     }
 }
 
-/// A gate's load, and how much of some work it refuses.
-#[derive(Debug, Clone, Copy)]
-pub struct Observed {
-    /// The load.
-    pub load: Load,
-    /// The share of this work that is refused.
-    pub level: f32,
-}
-
 impl State {
-    fn load(&self) -> Load {
-        Load {
-            in_flight: self.guard.in_flight() as u32,
-            queued: self.guard.queued() as u32,
-            slots: self.guard.slots() as u32,
-        }
-    }
-
     /// Tells the tasks whose wait ended. A slot for a task that has gone passes to the next one.
     fn deliver(&mut self, released: Released) {
         for shed in released.shed {
@@ -142,7 +108,7 @@
         while let Some(ticket) = start.pop() {
             let told = self.waiters.remove(&ticket).map(|waiter| waiter.send(None));
             if !matches!(told, Some(Ok(()))) {
-                start.extend(self.guard.finish(None).start);
+                start.extend(self.intake.guard.finish(None).start);
             }
         }
     }
@@ -158,15 +124,15 @@
 impl Place<'_> {
     /// Waits until the deadline, but no longer than the queue is bounded: work that came later and
     /// goes first can make a prediction wrong.
-    async fn wait(mut self, deadline: Time) -> Result<Permit, Reason> {
+    async fn wait(mut self, route: &str, deadline: Time) -> Result<Permit, Reason> {
         let left = deadline.since(self.gate.clock.now());
-        let longest = self.gate.lock().guard.longest_wait();
+        let longest = self.gate.lock().intake.guard.longest_wait();
         let Some(answer) = self.answer.as_mut() else { return Err(Reason::Leaving) };
         let answer = tokio::time::timeout(left.min(longest), answer).await;
         match answer {
             Ok(Ok(None)) => {
                 self.answer = None;
-                Ok(self.gate.permit(self.gate.clock.now()))
+                Ok(self.gate.permit(route, self.gate.clock.now()))
             }
             Ok(Ok(Some(reason))) => {
                 self.answer = None;
@@ -186,12 +152,12 @@
         let Some(mut answer) = self.answer.take() else { return };
         let mut state = self.gate.lock();
         state.waiters.remove(&self.ticket);
-        if state.guard.cancel(self.ticket) {
+        if state.intake.guard.cancel(self.ticket) {
             return;
         }
         // The slot was given between the end of the wait and this drop.
         if let Ok(None) = answer.try_recv() {
-            let released = state.guard.finish(None);
+            let released = state.intake.guard.finish(None);
             state.deliver(released);
         }
     }
@@ -201,6 +167,7 @@
 #[derive(Debug)]
 pub struct Permit {
     gate: Arc<Gate>,
+    route: String,
     since: Time,
     whole: bool,
 }
@@ -216,7 +183,7 @@
     fn drop(&mut self) {
         let service = self.gate.clock.now().since(self.since);
         let mut state = self.gate.lock();
-        let released = state.guard.finish(self.whole.then_some(service));
+        let released = state.intake.finish(&self.route, self.whole.then_some(service));
         state.deliver(released);
     }
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -2,8 +2,8 @@
 //!
 //! The guard holds as many requests in flight as the backend server has slots. Others wait in a queue
 //! that is bounded by time: a request whose predicted wait leaves too little of its deadline is
-//! refused at once. The order is importance, then begun work before new work, then start-time fair
-//! queueing between customers. All of it is pure. docs/DESIGN.md, "Guard", weighs the other ways.
+//! refused at once. The order is importance, then the tighter latency objective, then begun work before
+//! new work, then start-time fair queueing between customers. All of it is pure. docs/DESIGN.md, "Guard", weighs the other ways.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -19,7 +19,7 @@
 const MEAN_GAIN: f64 = 0.05;
 
 /// One weight unit of [`Work::weight`], so that tags keep their precision as integers.
-const WEIGHT_UNIT: u64 = 64;
+const WEIGHT_UNIT: u64 = 1 << 16;
 
 /// Names one request while it waits or runs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,6 +34,8 @@
     pub weight: u32,
     /// The importance that the entry route gave it.
     pub importance: Importance,
+    /// Within which time its answer is worth most. Work with less time to lose goes first.
+    pub objective: Duration,
     /// Whether work was already done for it at an earlier hop.
     pub begun: bool,
     /// When its caller stops waiting.
@@ -126,9 +128,10 @@
         self.longest_wait
     }
 
-    /// The part of the slots that is free, from 0 to 1.
-    pub fn idle(&self) -> f32 {
-        1.0 - (self.in_flight as f32 / self.slots.max(1) as f32).min(1.0)
+    /// How long all that waits now will take to start.
+    pub fn backlog(&self) -> Duration {
+        let rounds = self.waiting.len() as f64 / self.slots.max(1) as f64;
+        Duration::from_secs_f64(rounds * self.mean_service)
     }
 
     /// Changes the bound on the wait, when a new document sets another.
@@ -278,12 +281,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     importance: Importance,
+    /// The doublings of a millisecond in its objective, so that there are few classes.
+    haste: u32,
     fresh: bool,
 }
 
 impl Rank {
     fn of(work: &Work) -> Self {
-        Self { importance: work.importance, fresh: !work.begun }
+        let haste = work.objective.as_millis().max(1).ilog2();
+        Self { importance: work.importance, haste, fresh: !work.begun }
     }
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crate::document::Policy;
 use crate::envelope::Load;
 use crate::member::{Member, View};
 use crate::router::Candidate;
+use crate::sync::lock;
 use crate::time::Time;
 
 /// How long an instance gets no work after a connection to it failed.
@@ -18,6 +19,12 @@
 /// How long an instance gets less work after its backend server shed by itself.
 const SHED_PAUSE: Duration = Duration::from_secs(2);
 
+/// How much one answer moves the part of an instance's answers that are failures.
+const FAILURE_GAIN: f64 = 0.1;
+
+/// Over which time failures fade that are not seen again.
+const FAILURE_TIME: Duration = Duration::from_secs(2);
+
 /// What is left of an instance's slots after its backend server shed by itself.
 const SHED_SLOTS: f64 = 0.5;
 
@@ -31,12 +38,16 @@
     pub vm: String,
     /// Where it takes requests from other daemons.
     pub peers: SocketAddr,
+    /// Where it takes heartbeats.
+    pub control: SocketAddr,
     /// Whether it stands in this daemon's failure domain.
     pub local: bool,
     ready: Time,
     slots: u32,
     reported: AtomicU32,
+    mean_us: AtomicU32,
     sent: AtomicU32,
+    failures: Mutex<Failures>,
     failed_until: AtomicU64,
     shed_until: AtomicU64,
 }
@@ -47,10 +58,13 @@
         Self {
             vm: record.vm.clone(),
             peers: record.peers,
+            control: record.control,
             local: record.domain == domain,
             ready: member.ready_since.unwrap_or_default(),
             slots: record.slots,
             reported: AtomicU32::new(0),
+            mean_us: AtomicU32::new(0),
+            failures: Mutex::default(),
             sent: AtomicU32::new(0),
             failed_until: AtomicU64::new(0),
             shed_until: AtomicU64::new(0),
@@ -60,6 +74,12 @@
     /// The load that came with an answer.
     pub fn report(&self, load: Load) {
         self.reported.store(load.in_flight + load.queued, Ordering::Relaxed);
+        self.mean_us.store(load.mean_us, Ordering::Relaxed);
+    }
+
+    /// Notes whether a request that it took was answered as it should be.
+    pub fn note(&self, failed: bool, now: Time) {
+        lock(&self.failures).note(failed, now);
     }
 
     /// Notes that a connection to it failed.
@@ -67,6 +87,11 @@
         self.failed_until.store((now + FAILURE_PAUSE).as_micros(), Ordering::Relaxed);
     }
 
+    /// Whether a connection to it failed a moment ago.
+    pub fn is_failing(&self, now: Time) -> bool {
+        now.as_micros() < self.failed_until.load(Ordering::Relaxed)
+    }
+
     /// Notes that its backend server shed by itself.
     pub fn shed(&self, now: Time) {
         self.shed_until.store((now + SHED_PAUSE).as_micros(), Ordering::Relaxed);
@@ -81,7 +106,7 @@
     /// The instance as a candidate, or `None` while connections to it fail.
     pub fn candidate(&self, index: usize, ramp: Duration, now: Time) -> Option<Candidate> {
         let now_micros = now.as_micros();
-        if now_micros < self.failed_until.load(Ordering::Relaxed) {
+        if self.is_failing(now) {
             return None;
         }
         let mut slots = f64::from(self.slots) * self.ramp(ramp, now);
@@ -90,7 +115,15 @@
         }
         let sent = self.sent.load(Ordering::Relaxed);
         let load = self.reported.load(Ordering::Relaxed).max(sent);
-        Some(Candidate { index, local: self.local, load, slots: (slots as u32).max(1) })
+        let mean = self.mean_us.load(Ordering::Relaxed);
+        Some(Candidate {
+            index,
+            local: self.local,
+            load,
+            slots: (slots as u32).max(1),
+            mean: Duration::from_micros(u64::from(mean)),
+            failing: lock(&self.failures).at(now),
+        })
     }
 
     fn ramp(&self, ramp: Duration, now: Time) -> f64 {
@@ -103,6 +136,27 @@
     }
 }
 
+/// The part of an instance's answers that were failures lately.
+#[derive(Debug, Default)]
+struct Failures {
+    part: f64,
+    updated: Time,
+}
+
+impl Failures {
+    fn note(&mut self, failed: bool, now: Time) {
+        let part = self.at(now);
+        self.part = part + FAILURE_GAIN * (f64::from(u8::from(failed)) - part);
+        self.updated = now;
+    }
+
+    /// What is not seen again fades, so that an instance that failed is tried again.
+    fn at(&self, now: Time) -> f64 {
+        let span = now.since(self.updated).as_secs_f64();
+        self.part * (-span / FAILURE_TIME.as_secs_f64()).exp()
+    }
+}
+
 /// A request on its way to an instance.
 #[derive(Debug)]
 pub struct Sent {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 //!
 //! docs/DESIGN.md records what was weighed; docs/OPERATING.md is for operators.
 
+pub mod admission;
 pub mod backend;
 pub mod board;
 pub mod breaker;
@@ -33,15 +34,17 @@
 pub mod entry;
 pub mod envelope;
 pub mod error;
+pub mod fanout;
 pub mod feed;
+pub mod feedback;
 pub mod forward;
 pub mod gate;
 pub mod guard;
 pub mod head;
 pub mod instance;
+pub mod intake;
 pub mod journal;
 pub mod key;
-pub mod level;
 pub mod live;
 pub mod log;
 pub mod member;
@@ -54,6 +57,7 @@
 pub mod quarantine;
 pub mod reason;
 pub mod retry;
+pub mod room;
 pub mod roster;
 pub mod router;
 pub mod server;
--- a/src/live.rs
+++ b/src/live.rs
@@ -38,7 +38,7 @@
         let mut all = lock(&self.reach);
         for one in reach {
             match all.iter_mut().find(|other| other.service == one.service) {
-                Some(other) => other.level = other.level.max(one.level),
+                Some(other) => other.work_ms += one.work_ms,
                 None => all.push(one.clone()),
             }
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -29,6 +29,7 @@
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::quarantine::Rumor;
+use crate::room::Verdict;
 use crate::roster::Roster;
 use crate::share::LOAN_USE;
 use crate::shared::Shared;
@@ -45,6 +46,9 @@
 /// The longest that a heartbeat may take.
 const HEARTBEAT_TIME: Duration = Duration::from_millis(500);
 
+/// The longest that asking for room may take; it is asked again soon.
+const ROOM_TIME: Duration = Duration::from_millis(100);
+
 /// The longest that fetching a document or a roster may take.
 const DOCUMENT_TIME: Duration = Duration::from_secs(2);
 
@@ -65,6 +69,7 @@
     async fn run(envelope: Envelope, message: Message) -> Answer;
     async fn beat(beat: Beat) -> Beat;
     async fn borrow(ask: Ask) -> Loan;
+    async fn room(vm: String, work: f64) -> Verdict;
     async fn document(than: u64) -> Option<Text>;
     async fn roster(than: u64) -> Option<Roster>;
     async fn ping();
@@ -221,6 +226,18 @@
         loan.is_some_and(|loan| loan.granted) && in_time
     }
 
+    /// Tells the daemon at `address` how much work is offered here for its service, in seconds of a slot in
+    /// a second, and asks how much of it to refuse.
+    pub async fn room(&self, shared: &Shared, address: SocketAddr, work: f64) -> Option<Verdict> {
+        let vm = shared.board.settings.vm.clone();
+        let exchange = async {
+            let link = self.link(shared, address).await?;
+            self.call(shared, address, &link, link.client.room(context_of(ROOM_TIME), vm, work))
+                .await
+        };
+        within(ROOM_TIME, exchange).await
+    }
+
     /// Fetches the document of the daemon at `address`, if it is newer than the one in force here.
     pub async fn document(&self, shared: &Shared, address: SocketAddr) -> Option<Text> {
         let than = shared.board.policy.load().version;
@@ -466,6 +483,10 @@
         Loan { granted: self.shared.board.lend(&ask.customer) }
     }
 
+    async fn room(self, _: context::Context, vm: String, work: f64) -> Verdict {
+        self.shared.board.ask_room(&vm, work)
+    }
+
     async fn document(self, _: context::Context, than: u64) -> Option<Text> {
         let text = self.shared.board.document.load_full()?;
         (text.version > than).then(|| (*text).clone())
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -71,12 +71,12 @@
         /// How many slots the backend server has.
         slots: u64,
     },
-    /// A service on this route's path admits only more important work now.
+    /// A service on this route's path is overloaded.
     Overloaded {
-        /// The service that is overloaded.
-        service: String,
-        /// Share of this importance that is refused, in percent.
+        /// Share of such requests that is refused, in percent.
         refused: u64,
+        /// Milliseconds after which coming back makes sense.
+        wait: u64,
     },
     /// The deadline passed.
     DeadlinePassed {
@@ -215,13 +215,12 @@
     /// When the caller may come back, or `None` when the same request would be refused again.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::OverRate { wait, .. } | Self::QueueDelay { wait, .. } => {
-                Some(Duration::from_millis(*wait))
-            }
+            Self::OverRate { wait, .. }
+            | Self::QueueDelay { wait, .. }
+            | Self::Overloaded { wait, .. } => Some(Duration::from_millis(*wait)),
             Self::Quarantined { seconds } => Some(Duration::from_secs(*seconds)),
             Self::NoDocument
             | Self::Displaced { .. }
-            | Self::Overloaded { .. }
             | Self::NoInstance { .. }
             | Self::NotReady
             | Self::Leaving
@@ -288,9 +287,10 @@
                 "{queued} requests wait for {slots} slots and this one is the least important; \
                  come back later"
             ),
-            Self::Overloaded { service, refused } => write!(
+            Self::Overloaded { refused, wait } => write!(
                 f,
-                "service {service} refuses {refused}% of this importance now; come back later"
+                "a service on the way is overloaded and {refused}% of such requests are refused; come \
+                 back in {wait} ms"
             ),
             Self::DeadlinePassed { allowed } => {
                 write!(f, "the {allowed} ms that the request had are over; allow more time")
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,13 +1,20 @@
 //! The choice of an instance.
 //!
-//! Two candidates are drawn and the less loaded one is taken, on load that came in answers. The local
-//! failure domain goes first, and work spills over when it is fuller by a margin. docs/DESIGN.md,
-//! "Routing", weighs the other ways.
+//! Two candidates near and two beyond are drawn, and the one from which the answer is expected first is
+//! taken, by load, time and failures that came in answers. The local failure domain goes first, unless
+//! another is faster by a part of the latency objective. docs/DESIGN.md, "Routing", weighs the other
+//! ways.
+
+use std::time::Duration;
 
 use rand::Rng;
 
-/// How much fuller the local failure domain may be before work leaves it, as a fraction of slots.
-pub const SPILL_MARGIN: f64 = 0.15;
+/// How much later the local failure domain may answer before work leaves it, as a part of the latency
+/// objective. Beyond it, bytes between failure domains cost more than the time is worth.
+pub const SPILL_MARGIN: f64 = 0.03;
+
+/// By how much a full instance is taken to be slower than an empty one, as a part of its time.
+const FULL_SLOWDOWN: f64 = 0.3;
 
 /// One instance that could take the request.
 #[derive(Debug, Clone, Copy)]
@@ -20,20 +27,32 @@
     pub load: u32,
     /// Its slots, lowered while it starts or after it shed by itself.
     pub slots: u32,
+    /// How long it holds a slot for a request on average; zero while that is not known.
+    pub mean: Duration,
+    /// The part of its answers that were failures lately.
+    pub failing: f64,
 }
 
 impl Candidate {
-    fn fullness(&self) -> f64 {
-        f64::from(self.load + 1) / f64::from(self.slots.max(1))
+    /// In how many seconds its answer is expected. A failure costs as much as the objective, since its
+    /// caller has to ask again.
+    fn expected(&self, objective: Duration) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let fullness = f64::from(self.load + 1) / slots;
+        let waiting = (fullness - 1.0).max(0.0);
+        let slowdown = FULL_SLOWDOWN * fullness.min(1.0).powi(2);
+        let time = self.mean.as_secs_f64() * (1.0 + slowdown + waiting);
+        time + self.failing * objective.as_secs_f64()
     }
 }
 
-/// Chooses one of `candidates`, or `None` when there are none.
-pub fn choose(candidates: &[Candidate], rng: &mut impl Rng) -> Option<usize> {
-    let near = draw(candidates, true, rng);
-    let far = draw(candidates, false, rng);
+/// Chooses one of `candidates` for a request with this latency objective, or `None` when there are none.
+pub fn choose(candidates: &[Candidate], objective: Duration, rng: &mut impl Rng) -> Option<usize> {
+    let near = draw(candidates, true, objective, rng);
+    let far = draw(candidates, false, objective, rng);
+    let margin = objective.as_secs_f64() * SPILL_MARGIN;
     match (near, far) {
-        (Some(near), Some(far)) if near.fullness() > far.fullness() + SPILL_MARGIN => {
+        (Some(near), Some(far)) if near.expected(objective) > far.expected(objective) + margin => {
             Some(far.index)
         }
         (Some(near), _) => Some(near.index),
@@ -41,8 +60,13 @@
     }
 }
 
-/// Draws two of the near or of the far candidates and returns the emptier one.
-fn draw<'a>(candidates: &'a [Candidate], local: bool, rng: &mut impl Rng) -> Option<&'a Candidate> {
+/// Draws two of the near or of the far candidates and returns the one that is expected to answer first.
+fn draw<'a>(
+    candidates: &'a [Candidate],
+    local: bool,
+    objective: Duration,
+    rng: &mut impl Rng,
+) -> Option<&'a Candidate> {
     let count = candidates.iter().filter(|candidate| candidate.local == local).count();
     if count == 0 {
         return None;
@@ -51,5 +75,6 @@
     let second = if count > 1 { (first + rng.random_range(1..count)) % count } else { first };
     let nth = |n| candidates.iter().filter(|candidate| candidate.local == local).nth(n);
     let (first, second) = (nth(first)?, nth(second)?);
-    Some(if second.fullness() < first.fullness() { second } else { first })
+    let better = second.expected(objective) < first.expected(objective);
+    Some(if better { second } else { first })
 }
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -12,7 +12,6 @@
 use crate::bucket::Bucket;
 use crate::document::{CustomerId, Limit, Policy};
 use crate::envelope::Reach;
-use crate::level::Cuts;
 use crate::share::{Holding, Turn};
 use crate::sync::lock;
 use crate::time::Time;
@@ -24,6 +23,24 @@
 /// customer far over its rate can cause.
 const BORROW_PAUSE: Duration = Duration::from_millis(5);
 
+/// The least time between two updates of a rate.
+const RATE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Over which time a rate is averaged. It follows a surge within half a second.
+const RATE_TIME: Duration = Duration::from_millis(200);
+
+/// Requests a second below which a customer counts as gone.
+const LEAST_RATE: f64 = 0.05;
+
+/// How often each instance is asked where requests of a route lead.
+const CURIOUS_TIME: Duration = Duration::from_millis(50);
+
+/// Seconds of a slot below which a route counts as not leading to a service.
+const LEAST_WORK: f64 = 0.000_5;
+
+/// How much one answer moves what is known of a route's cost.
+const WORK_GAIN: f64 = 0.2;
+
 /// One customer's share on this VM and where to borrow.
 #[derive(Debug)]
 pub struct CustomerShare {
@@ -135,15 +152,104 @@
     }
 }
 
+/// What an entry knows of a route: who asks for it, and what its requests cost where.
+#[derive(Debug, Default)]
+pub struct RouteState {
+    state: Mutex<RouteFlows>,
+}
+
+#[derive(Debug, Default)]
+struct RouteFlows {
+    work: BTreeMap<String, f64>,
+    flows: BTreeMap<Option<CustomerId>, Rate>,
+    asked: BTreeMap<String, Time>,
+}
+
+/// Requests a second, over about the last second.
+#[derive(Debug, Default, Clone, Copy)]
+struct Rate {
+    count: u32,
+    rate: f64,
+    updated: Time,
+}
+
+impl Rate {
+    fn advance(&mut self, now: Time) {
+        let span = now.since(self.updated);
+        if span < RATE_INTERVAL {
+            return;
+        }
+        let fresh = f64::from(self.count) / span.as_secs_f64();
+        let old = (-span.as_secs_f64() / RATE_TIME.as_secs_f64()).exp();
+        *self = Self { count: 0, rate: self.rate * old + fresh * (1.0 - old), updated: now };
+    }
+}
+
+impl RouteState {
+    /// Notes a request, before it is known whether it is let in.
+    pub fn offered(&self, customer: Option<CustomerId>, now: Time) {
+        let mut state = lock(&self.state);
+        let rate = state.flows.entry(customer).or_default();
+        rate.count += 1;
+        rate.advance(now);
+    }
+
+    /// Whether the instance on `vm` should tell again where such requests lead.
+    pub fn is_curious(&self, vm: &str, now: Time) -> bool {
+        let mut state = lock(&self.state);
+        match state.asked.get_mut(vm) {
+            Some(asked) if now.since(*asked) < CURIOUS_TIME => false,
+            Some(asked) => {
+                *asked = now;
+                true
+            }
+            None => {
+                state.asked.insert(vm.to_owned(), now);
+                true
+            }
+        }
+    }
+
+    /// Learns what one of the requests cost.
+    pub fn learn(&self, reach: &[Reach]) {
+        let mut state = lock(&self.state);
+        // A service that is no longer named was put down to the route by mistake, or is called no more.
+        for known in state.work.values_mut() {
+            *known -= WORK_GAIN * *known;
+        }
+        for one in reach {
+            let work = f64::from(one.work_ms) / 1_000.0;
+            match state.work.get_mut(&one.service) {
+                Some(known) => *known += WORK_GAIN * work,
+                None => drop(state.work.insert(one.service.clone(), work)),
+            }
+        }
+        state.work.retain(|_, work| *work > LEAST_WORK);
+    }
+
+    /// What one of the requests costs at each service, in seconds of a slot.
+    pub fn work(&self) -> BTreeMap<String, f64> {
+        lock(&self.state).work.clone()
+    }
+
+    /// Customers that asked lately, with their requests a second.
+    pub fn rates(&self, now: Time) -> Vec<(Option<CustomerId>, f64)> {
+        let mut state = lock(&self.state);
+        state.flows.retain(|_, rate| {
+            rate.advance(now);
+            rate.rate > LEAST_RATE
+        });
+        state.flows.iter().map(|(customer, rate)| (*customer, rate.rate)).collect()
+    }
+}
+
 /// What a request needs beside the policy; replaced as one when the policy changes.
 #[derive(Debug, Default)]
 pub struct Tables {
-    /// Levels of services by name.
-    pub cuts: BTreeMap<String, Cuts>,
     /// Services by name.
     pub services: BTreeMap<String, Arc<ServiceState>>,
-    /// Reached services, by route.
-    pub routes: BTreeMap<String, Arc<RouteReach>>,
+    /// What this entry knows of routes, by name.
+    pub routes: BTreeMap<String, Arc<RouteState>>,
     /// Services that the local backend server reaches below itself, by route.
     pub below: BTreeMap<String, Arc<RouteReach>>,
     /// Shares by customer.
@@ -158,19 +264,16 @@
     }
 
     /// Tables for a new policy that keep the state of what stays.
-    pub(crate) fn follow(&self, policy: &Policy, now: Time) -> Self {
+    pub fn follow(&self, policy: &Policy, now: Time) -> Self {
         let mut next = Self::default();
         for service in policy.services() {
             let state = self.services.get(&service.name).cloned();
             let state = state.unwrap_or_else(|| Arc::new(ServiceState::new(now)));
             next.services.insert(service.name.clone(), state);
-            let old = self.cuts.get(&service.name);
-            let cuts = Cuts::follow(old, policy.customer_count(), now);
-            next.cuts.insert(service.name.clone(), cuts);
         }
         for route in policy.routes() {
-            let reach = self.routes.get(&route.name).cloned().unwrap_or_default();
-            next.routes.insert(route.name.clone(), reach);
+            let state = self.routes.get(&route.name).cloned().unwrap_or_default();
+            next.routes.insert(route.name.clone(), state);
             let below = self.below.get(&route.name).cloned().unwrap_or_default();
             next.below.insert(route.name.clone(), below);
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,5 +1,6 @@
 //! Decisions beside naive versions, and properties over random cases.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,52 +18,59 @@
 /// One waiting request of the naive queue.
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
-    importance: Importance,
-    fresh: bool,
+    class: Class,
     tag: u64,
     ticket: Ticket,
 }
 
+/// Importance, then the doublings of a millisecond in the objective, then begun work.
+type Class = (Importance, u32, bool);
+
 /// The same order as the guard's, by sorting a plain list and counting by hand.
 #[derive(Debug, Default)]
 struct Naive {
     waiting: Vec<Waiting>,
-    finish: Vec<(Importance, bool, CustomerId, u64)>,
-    passed: Vec<(Importance, bool, u64)>,
+    finish: Vec<(Class, CustomerId, u64)>,
+    passed: Vec<(Class, u64)>,
 }
 
 impl Naive {
     fn push(&mut self, work: &Work, ticket: Ticket) {
-        let (importance, fresh) = (work.importance, !work.begun);
-        let class = |w: &&Waiting| (w.importance, w.fresh) == (importance, fresh);
-        if !self.waiting.iter().any(|w| class(&w)) {
-            self.finish.retain(|f| (f.0, f.1) != (importance, fresh));
-            self.passed.retain(|p| (p.0, p.1) != (importance, fresh));
+        let mut haste = 0;
+        while work.objective.as_millis() >> (haste + 1) > 0 {
+            haste += 1;
+        }
+        let class = (work.importance, haste, !work.begun);
+        if !self.waiting.iter().any(|w| w.class == class) {
+            self.finish.retain(|f| f.0 != class);
+            self.passed.retain(|p| p.0 != class);
         }
-        let passed = self.passed.iter().find(|p| (p.0, p.1) == (importance, fresh));
-        let passed = passed.map_or(0, |p| p.2);
-        let known =
-            self.finish.iter().position(|f| (f.0, f.1, f.2) == (importance, fresh, work.customer));
-        let tag = known.map_or(0, |at| self.finish[at].3).max(passed);
+        let passed = self.passed.iter().find(|p| p.0 == class).map_or(0, |p| p.1);
+        let known = self.finish.iter().position(|f| (f.0, f.1) == (class, work.customer));
+        let tag = known.map_or(0, |at| self.finish[at].2).max(passed);
         if let Some(at) = known {
             self.finish.remove(at);
         }
-        self.finish.push((importance, fresh, work.customer, tag + 64 / u64::from(work.weight)));
-        self.waiting.push(Waiting { importance, fresh, tag, ticket });
+        let step = u64::from(UNIT / work.weight);
+        self.finish.push((class, work.customer, tag + step));
+        self.waiting.push(Waiting { class, tag, ticket });
     }
 
     fn pop(&mut self) -> Option<Ticket> {
-        self.waiting.sort_by_key(|w| (w.importance, w.fresh, w.tag, w.ticket));
+        self.waiting.sort_by_key(|w| (w.class, w.tag, w.ticket));
         if self.waiting.is_empty() {
             return None;
         }
         let first = self.waiting.remove(0);
-        self.passed.retain(|p| (p.0, p.1) != (first.importance, first.fresh));
-        self.passed.push((first.importance, first.fresh, first.tag));
+        self.passed.retain(|p| p.0 != first.class);
+        self.passed.push((first.class, first.tag));
         Some(first.ticket)
     }
 }
 
+/// One unit of weight in the tags of the naive queue; the weights below divide it.
+const UNIT: u32 = 64;
+
 #[test]
 fn the_guard_starts_work_in_the_order_of_a_sorted_list() {
     for seed in 0..200 {
@@ -78,6 +86,7 @@
                     customer: CustomerId::new(customer),
                     weight: 1 << (customer % 3),
                     importance: Importance::ALL[rng.random_range(0..4)],
+                    objective: Duration::from_millis(rng.random_range(1..600)),
                     begun: rng.random_bool(0.3),
                     deadline: Time::from_millis(1 << 40),
                 };
@@ -104,6 +113,7 @@
         customer: CustomerId::new(customer),
         weight: 1,
         importance,
+        objective: Duration::from_millis(100),
         begun: false,
         deadline: Time::from_millis(10_000),
     };
@@ -172,17 +182,42 @@
     assert!(!late.may_retry(true));
 }
 
-#[test]
-fn the_router_prefers_its_own_domain_until_that_is_fuller() {
+/// A candidate with 100 slots that holds each for 10 ms.
+fn candidate(index: usize, local: bool, load: u32) -> Candidate {
+    let mean = Duration::from_millis(10);
+    Candidate { index, local, load, slots: 100, mean, failing: 0.0 }
+}
+
+const OBJECTIVE: Duration = Duration::from_millis(100);
+
+fn choose(candidates: &[Candidate]) -> BTreeSet<Option<usize>> {
     let mut rng = SmallRng::seed_from_u64(1);
-    let candidate = |index, local, load| Candidate { index, local, load, slots: 100 };
-    let calm = [candidate(0, true, 40), candidate(1, false, 30), candidate(2, false, 30)];
-    let full = [candidate(0, true, 60), candidate(1, false, 30), candidate(2, false, 30)];
-    for _ in 0..100 {
-        assert_eq!(router::choose(&calm, &mut rng), Some(0));
-        assert_ne!(router::choose(&full, &mut rng), Some(0));
+    (0..200).map(|_| router::choose(candidates, OBJECTIVE, &mut rng)).collect()
+}
+
+#[test]
+fn the_router_stays_in_its_domain_until_another_is_faster_by_the_margin() {
+    let near = |load| vec![candidate(0, true, load), candidate(1, false, 30)];
+    assert_eq!(choose(&near(40)), BTreeSet::from([Some(0)]));
+    assert_eq!(
+        choose(&near(90)),
+        BTreeSet::from([Some(0)]),
+        "a little fuller is not worth the way"
+    );
+    assert_eq!(choose(&near(160)), BTreeSet::from([Some(1)]), "here it would wait");
+    assert_eq!(choose(&[]), BTreeSet::from([None]));
+}
+
+#[test]
+fn the_router_turns_from_an_instance_that_is_slow_or_fails() {
+    let slow = Candidate { mean: Duration::from_millis(25), ..candidate(0, true, 10) };
+    let failing = Candidate { failing: 0.5, ..candidate(0, true, 10) };
+    for poor in [slow, failing] {
+        let sound = candidate(1, true, 10);
+        assert_eq!(choose(&[poor, sound]), BTreeSet::from([Some(1)]));
+        let beyond = candidate(1, false, 10);
+        assert_eq!(choose(&[poor, beyond]), BTreeSet::from([Some(1)]));
     }
-    assert_eq!(router::choose(&[], &mut rng), None);
 }
 
 fn record(counter: u64, incarnation: u64, state: State, suspect: bool) -> Record {
