Tell callers what reached no backend server, and try failures elsewhere

Change: the status follows from reason and outcome together: 503 with Retry-After for what did not run, never for what may have run. The answer that knows of a run is kept over a later refusal. A 5xx of a backend server to an idempotent request is tried at another instance within the retry budgets. A call that a daemon turned away is placed at up to two others without drawing on the retry budgets, since no backend server saw it.

Ruled out: changing the status in the adapter alone (the doubt of an earlier attempt is known only here).

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -21,6 +21,10 @@
 use crate::tables::ServiceState;
 use crate::time::Time;
 
+/// How often a call that a daemon turned away is placed at another instance. More would spend time and
+/// messages on an overloaded service, where the next daemon says the same.
+const MOST_TURNED_AWAY: u32 = 2;
+
 /// A call that is to be sent to an instance of its service.
 #[derive(Debug)]
 pub struct Call {
@@ -36,10 +40,10 @@
     pub deadline: Time,
 }
 
-/// Sends a call, with retries out of `ledger`, and returns the last attempt's answer.
+/// Sends a call, with retries out of `ledger`, and returns the attempt's answer that tells most.
 ///
-/// The answer says `not-run` only when every attempt said so, and `unknown` when an attempt that may
-/// have run was followed by a refusal.
+/// The answer says `not-run` only when every attempt said so. A refusal never replaces what an earlier
+/// attempt brought: an answer of the backend server, though a failure, or doubt about a run.
 pub async fn send(shared: &Arc<Shared>, call: &Call, ledger: &Ledger) -> Answer {
     let board = &shared.board;
     let policy = board.policy.load_full();
@@ -56,12 +60,13 @@
         }
     };
     let mut tried = BTreeSet::new();
-    let mut worst: Option<Answer> = None;
+    let mut best: Option<Answer> = None;
+    let mut turned_away = 0;
     loop {
         let Some(instance) = choose(board, call, &service.name, service.ramp, &tried) else {
             let known = board.instances.load().of(&service.name).len() as u64;
             let reason = Reason::NoInstance { service: service.name.clone(), known };
-            return worst.unwrap_or_else(|| Answer::not_run(call.envelope.request.clone(), reason));
+            return best.unwrap_or_else(|| Answer::not_run(call.envelope.request.clone(), reason));
         };
         tried.insert(instance.vm.clone());
         let answer = attempt(shared, call, &instance, ledger, suspect).await;
@@ -72,42 +77,67 @@
         } else if suspect && answer.report.outcome == Outcome::Ran {
             board.suspect(|quarantine, _| quarantine.completed(fingerprint()));
         }
-        if answer.report.outcome == Outcome::Ran && answer.status != StatusCode::SERVICE_UNAVAILABLE
-        {
+        if answer.report.outcome == Outcome::Ran && !answer.status.is_server_error() {
             if let Some(state) = &state {
                 state.earn_retry(service.retry_ratio, now);
             }
             return answer;
         }
         let quarantined = matches!(board.standing(fingerprint), Standing::Quarantined(_));
-        let again = !quarantined
+        let mut again = !quarantined
             && failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
-            && choose(board, call, &service.name, service.ramp, &tried).is_some()
-            && take_retry(state.as_deref(), ledger, now);
-        let answer = keep_doubt(worst.take(), answer);
+            && choose(board, call, &service.name, service.ramp, &tried).is_some();
+        if again && is_turned_away(&answer) {
+            turned_away += 1;
+            again = turned_away <= MOST_TURNED_AWAY;
+        } else if again {
+            again = take_retry(state.as_deref(), ledger, now);
+        }
+        let answer = telling(best.take(), answer);
         if !again {
             return answer;
         }
         let labels = crate::metrics::ServiceLabels { service: service.name.clone() };
         board.metrics.retries.get_or_create(&labels).inc();
-        worst = Some(answer);
+        best = Some(answer);
     }
 }
 
-/// Makes the outcome of a later refusal honest about an earlier attempt that may have run.
-fn keep_doubt(earlier: Option<Answer>, mut answer: Answer) -> Answer {
-    let doubt = earlier.is_some_and(|earlier| earlier.report.outcome != Outcome::NotRun);
-    if doubt && answer.report.outcome == Outcome::NotRun {
-        answer.report.outcome = Outcome::Unknown;
+/// Of two answers to one call, the later one, unless only the earlier one knows of a run.
+fn telling(earlier: Option<Answer>, later: Answer) -> Answer {
+    match earlier {
+        Some(earlier)
+            if later.report.outcome == Outcome::NotRun
+                && earlier.report.outcome != Outcome::NotRun =>
+        {
+            earlier
+        }
+        _ => later,
     }
-    answer
+}
+
+/// Whether the daemon beside the instance refused the request, so that no backend server saw it. To ask
+/// another one is to place the request, not to repeat it.
+fn is_turned_away(answer: &Answer) -> bool {
+    let own = matches!(
+        answer.report.reason,
+        Some(
+            Reason::QueueDelay { .. }
+                | Reason::Displaced { .. }
+                | Reason::NotReady
+                | Reason::Leaving
+                | Reason::ServiceBound { .. }
+                | Reason::TooManyConnections { .. }
+        )
+    );
+    own && answer.report.outcome == Outcome::NotRun
 }
 
 fn failure(answer: &Answer, left: Duration) -> Failure {
     let report = &answer.report;
     let elsewhere = match &report.reason {
         Some(reason) => reason.is_local(),
-        None => answer.status == StatusCode::SERVICE_UNAVAILABLE,
+        None => answer.status.is_server_error(),
     };
     Failure { outcome: report.outcome, elsewhere, left }
 }
--- a/src/message.rs
+++ b/src/message.rs
@@ -96,7 +96,7 @@
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         Self {
-            status: reason.status(),
+            status: reason.status(outcome),
             headers,
             body: serde_json::to_vec(&body).unwrap_or_default().into(),
             report: Report::new(request, outcome, Some(reason)),
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -183,8 +183,19 @@
         }
     }
 
-    /// The HTTP status that the caller gets.
-    pub const fn status(&self) -> StatusCode {
+    /// The HTTP status that the caller gets. Only a request that reached no backend server may be told that
+    /// it may simply come again, and it is never told that a backend server failed.
+    pub const fn status(&self, outcome: Outcome) -> StatusCode {
+        match (self.usual_status(), outcome) {
+            (StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT, Outcome::NotRun) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown) => StatusCode::BAD_GATEWAY,
+            (status, _) => status,
+        }
+    }
+
+    const fn usual_status(&self) -> StatusCode {
         match self {
             Self::MissingKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownToken => StatusCode::FORBIDDEN,
@@ -229,6 +240,7 @@
             | Self::ClaimPending
             | Self::DeadlinePassed { .. }
             | Self::Shed { .. }
+            | Self::BadAnswer { .. }
             | Self::Crashed
             | Self::SuspectRuns
             | Self::TooManyConnections { .. } => Some(Duration::from_secs(1)),
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,9 +4,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use gypsumtack::board::BackendServer;
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
 use gypsumtack::time::Clock;
@@ -14,6 +15,8 @@
 use gypsumtack_standin::backend::{Backend, Plan, Seen};
 use gypsumtack_standin::caller::{Answer, Caller, Question};
 use gypsumtack_standin::platform::Platform;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 /// How long a test waits for something to become true before it fails.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -92,6 +95,51 @@
         self.caller.ask(self.nodes[node].callers(), question).await.unwrap()
     }
 
+    /// Replaces a node's backend server by one that answers each request with the next of `answers`,
+    /// then closes. A connection without a request, as the daemon makes to see whether it lives, takes no
+    /// answer. Returns how many requests it has got.
+    pub async fn strange(&self, node: usize, answers: Vec<&'static str>) -> Arc<AtomicU64> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let got = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&got);
+        tokio::spawn(async move {
+            let mut answers = answers.iter().cycle();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut buffer = [0; 4096];
+                if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
+                    continue;
+                }
+                count.fetch_add(1, Ordering::Relaxed);
+                let Some(answer) = answers.next() else { return };
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        self.replace_backend(node, address).await;
+        got
+    }
+
+    /// Announces another address as a node's backend server, which need not answer.
+    pub async fn replace_backend(&self, node: usize, address: SocketAddr) {
+        let board = self.nodes[node].daemon.board();
+        self.nodes[node].backend.stop();
+        let backend = BackendServer {
+            id: String::new(),
+            started: 0,
+            sequence: 0,
+            cold_ms: 0,
+            service: "deep".into(),
+            address,
+            slots: 4,
+            draining: false,
+        };
+        board.announce(backend);
+        until("the other one is announced", || {
+            board.backend.load().as_ref().is_some_and(|backend| backend.address == address)
+        })
+        .await;
+    }
+
     pub fn begun(&self) -> u64 {
         self.seen.begun.load(Ordering::Relaxed)
     }
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -7,11 +7,10 @@
 
 use fleet::{Fleet, document, document_with, plan, settings_text, until};
 use gypsumtack::Settings;
-use gypsumtack::board::BackendServer;
 use gypsumtack_standin::caller::Question;
 use http::{HeaderName, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 async fn one_service(limits: &str) -> Fleet {
     let mut fleet = Fleet::start(&document()).await;
@@ -141,41 +140,6 @@
     drop((first, second));
 }
 
-/// A backend server that answers each request with the next of `answers`, then closes. A connection
-/// without a request, as the daemon makes to see whether it lives, takes no answer.
-async fn strange_backend(fleet: &Fleet, answers: Vec<&'static str>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        let mut answers = answers.iter().cycle();
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let mut buffer = [0; 4096];
-            if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
-                continue;
-            }
-            let Some(answer) = answers.next() else { return };
-            let _ = stream.write_all(answer.as_bytes()).await;
-        }
-    });
-    let board = fleet.nodes[0].daemon.board();
-    fleet.nodes[0].backend.stop();
-    let backend = BackendServer {
-        id: String::new(),
-        started: 0,
-        sequence: 0,
-        cold_ms: 0,
-        service: "deep".into(),
-        address,
-        slots: 4,
-        draining: false,
-    };
-    board.announce(backend);
-    until("the strange one is announced", || {
-        board.backend.load().as_ref().is_some_and(|backend| backend.address == address)
-    })
-    .await;
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn never_passes_on_an_answer_that_is_not_whole_or_comes_twice() {
     const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -183,8 +147,8 @@
     const CUT: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab";
     const TWICE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother";
     let fleet = one_service("").await;
-    strange_backend(&fleet, vec![SHORT, WHOLE, CUT, WHOLE, "garbage\r\n\r\n", WHOLE, TWICE, WHOLE])
-        .await;
+    let answers = [SHORT, WHOLE, CUT, WHOLE, "garbage\r\n\r\n", WHOLE, TWICE, WHOLE];
+    fleet.strange(0, answers.to_vec()).await;
     let ask = || fleet.ask(0, Question::get("/deep").key("acme-key"));
     for _ in 0..3 {
         let bad = ask().await;
--- /dev/null
+++ b/tests/retries.rs
@@ -0,0 +1,73 @@
+//! What is sent again, what is placed elsewhere, and what the caller is told when nothing helps.
+
+mod fleet;
+
+use std::sync::atomic::Ordering;
+
+use fleet::{Fleet, document, plan};
+use gypsumtack_standin::caller::Question;
+use http::HeaderName;
+
+const FAILS: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\noops";
+const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// An entry beside a service of its own, and `count` instances of the service that is asked for.
+async fn instances(count: usize) -> Fleet {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.add("a", plan("front", 8, 1, &[])).await;
+    for _ in 0..count {
+        fleet.add("a", plan("deep", 8, 1, &[])).await;
+    }
+    let board = fleet.nodes[0].daemon.board().clone();
+    fleet.settle(&["front"]).await;
+    fleet::until("all are known", || board.instances.load().of("deep").len() == count).await;
+    fleet
+}
+
+/// An address at which nobody listens.
+async fn nobody() -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_of_an_idempotent_request_is_tried_elsewhere() {
+    let fleet = instances(2).await;
+    let failing = fleet.strange(1, vec![FAILS]).await;
+    for _ in 0..20 {
+        let answer = fleet.ask(0, Question::get("/deep").key("acme-key")).await;
+        assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "ran"));
+    }
+    assert!(failing.load(Ordering::Relaxed) > 0, "the failing instance was asked");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_of_another_request_is_passed_on() {
+    let fleet = instances(1).await;
+    let failing = fleet.strange(1, vec![FAILS]).await;
+    let question = Question::get("/sign").key("acme-key").header(IDEMPOTENCY, "one");
+    let answer = fleet.ask(0, question).await;
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (500, "ran"));
+    assert_eq!(failing.load(Ordering::Relaxed), 1);
+    assert_eq!(&answer.body[..], b"oops");
+}
+
+/// Whatever the order in which the two are asked, the answer that was made is delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_does_not_replace_an_answer() {
+    let fleet = instances(2).await;
+    fleet.strange(1, vec![FAILS]).await;
+    fleet.replace_backend(2, nobody().await).await;
+    let answer = fleet.ask(0, Question::get("/deep").key("acme-key")).await;
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (500, "ran"));
+    assert_eq!(&answer.body[..], b"oops");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_reached_no_backend_server_may_come_again() {
+    let fleet = instances(1).await;
+    fleet.replace_backend(1, nobody().await).await;
+    let answer = fleet.ask(0, Question::get("/deep").key("acme-key")).await;
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (503, "not-run"));
+    assert!(answer.headers.contains_key(http::header::RETRY_AFTER), "{answer:?}");
+}
