Survive idle connections that a backend server forgets

Cause: a kept connection that the backend server has closed without a word resets what comes next on it.

Change: a request that may run twice is sent again at once when a kept connection breaks before any answer; any other takes only a connection used within 250 ms, and otherwise a new one.

Ruled out: a shorter idle time for all (more connections, and the window only shrinks); sending non-idempotent requests again (nobody knows whether they ran).

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -158,7 +158,8 @@
     }
     let extra = headers_for(shared, backend, entry, left);
     let limit = shared.board.policy.load().limits.answer_bytes;
-    let whole = shared.server.exchange(backend.address, message.into_request(extra), limit);
+    let again = !live.envelope.claimed;
+    let whole = shared.server.exchange(backend.address, message.into_request(extra), again, limit);
     match tokio::time::timeout(left, whole).await {
         Ok(Ok((status, headers, body))) => judge(shared, live, status, headers, body),
         Ok(Err(Lost::Broken(_))) if is_dead(shared, backend).await => {
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,6 +1,8 @@
 //! Connections to the local backend server: few, kept, and never shared by two requests at once.
 //!
-//! The one used last goes first, so that those that are not needed grow old and are closed.
+//! The one used last goes first, so that those that are not needed grow old and are closed. A backend server
+//! may forget an idle connection without a word, and resets what comes on it next. So a request that may be
+//! sent again is sent again, and another one takes only a connection that was used a moment ago.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -26,6 +28,10 @@
 /// crosses its close.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// How long after its last use a connection serves a request that may not be sent twice. Well below the
+/// shortest idle time seen at backend servers, one second; a new connection costs about a millisecond.
+const FRESH_TIME: Duration = Duration::from_millis(250);
+
 /// Says how long a backend server keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -51,6 +57,7 @@
 struct Idle {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    used: Time,
     end: Time,
 }
 
@@ -60,7 +67,8 @@
         Self { clock, idle: Mutex::default() }
     }
 
-    /// Sends a request and collects its whole answer.
+    /// Sends a request and collects its whole answer. `again` says that the request may reach the backend
+    /// server twice, when a kept connection broke before any answer.
     ///
     /// # Errors
     ///
@@ -70,14 +78,16 @@
         &self,
         address: SocketAddr,
         request: Request,
+        again: bool,
         limit: u64,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Lost> {
         let mut request = request;
         // An idle connection may have closed a moment ago; hyper gives such a request back unsent.
-        while let Some(mut sender) = self.take(address) {
+        while let Some(mut sender) = self.take(address, again) {
+            let copy = again.then(|| request.clone());
             match sender.try_send_request(request).await {
                 Ok(response) => return self.finish(address, sender, response, limit).await,
-                Err(mut error) => match error.take_message() {
+                Err(mut error) => match error.take_message().or(copy) {
                     Some(unsent) => request = unsent,
                     None => return Err(Lost::Broken(message::causes(error.error()))),
                 },
@@ -103,18 +113,20 @@
         let (parts, body) = response.into_parts();
         let body = message::collect(body, limit).await.map_err(Lost::Incomplete)?;
         if !closes(&parts.headers) && sender.ready().await.is_ok() {
-            let end = self.clock.now() + idle_time(&parts.headers);
-            lock(&self.idle).push(Idle { address, sender, end });
+            let used = self.clock.now();
+            let end = used + idle_time(&parts.headers);
+            lock(&self.idle).push(Idle { address, sender, used, end });
         }
         Ok((parts.status, parts.headers, body))
     }
 
     /// The connection that was used last, if the backend server still keeps it.
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr, again: bool) -> Option<SendRequest<Full<Bytes>>> {
         let now = self.clock.now();
         let mut idle = lock(&self.idle);
         idle.retain(|idle| idle.address == address && idle.end > now && !idle.sender.is_closed());
-        idle.pop().map(|idle| idle.sender)
+        let last = idle.pop_if(|last| again || now.since(last.used) <= FRESH_TIME);
+        last.map(|idle| idle.sender)
     }
 }
 
