See a service that is slower than its deadlines

Requests that were cut off at their deadline did not count into the time a request holds a slot, so the service seemed cheap; and where nothing that waits can end in time there is no queue, so the verdict saw no wait either.

Change: a request that was cut off raises the known time when it had already taken longer. The verdict also falls with the part of requests that the instance turns away. A line service-overloaded, at most once a second, shows the inputs of the verdict.

Ruled out: queues too long (the wait was below 20 ms), stale words of entries (all entries asked).

tests/admission.rs plays both causes.

--- a/examples/policy/fakes.rs
+++ b/examples/policy/fakes.rs
@@ -9,7 +9,7 @@
 use gypsumtack::document::Policy;
 use gypsumtack::envelope::Reach;
 use gypsumtack::feedback::Feedback;
-use gypsumtack::guard::{Offer, Released, Ticket, Work};
+use gypsumtack::guard::{Held, Offer, Released, Ticket, Work};
 use gypsumtack::intake::Intake;
 use gypsumtack::quarantine::Quarantine;
 use gypsumtack::reason::Outcome;
@@ -431,7 +431,8 @@
         }
         let name = self.deployment.routes[self.frames[frame].route].name;
         lock(&self.vms[vm].feedback.fanout).end(name, self.now);
-        let released = self.vms[vm].intake.finish(name, whole.then_some(span));
+        let held = if whole { Held::Whole(span) } else { Held::Cut(span) };
+        let released = self.vms[vm].intake.finish(name, held);
         self.release(vm, released);
     }
 
@@ -464,9 +465,10 @@
                 let Some(first) = instances().find(|&vm| !self.vms[vm].down) else { continue };
                 let up = instances().filter(|&vm| !self.vms[vm].down).count();
                 let slots = (self.deployment.services[at].slots * up) as f64 * FILLED;
-                let wait = self.vms[first].intake.guard.backlog();
-                let verdict =
-                    self.vms[first].room.ask(&name, work, Capacity { slots, wait }, self.now);
+                let guard = &self.vms[first].intake.guard;
+                let (wait, turned_away) = (guard.backlog(), guard.turned_away());
+                let capacity = Capacity { slots, wait, turned_away };
+                let verdict = self.vms[first].room.ask(&name, work, capacity, self.now);
                 self.vms[daemon].feedback.hear(&service, verdict, self.now);
             }
         }
--- a/src/board.rs
+++ b/src/board.rs
@@ -19,6 +19,7 @@
 use crate::instance::Instances;
 use crate::journal::Journal;
 use crate::live::LiveTable;
+use crate::log::Paced;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
 use crate::quarantine::{Fingerprint, Quarantine, Standing};
@@ -152,6 +153,7 @@
     /// What is known of services beyond this daemon. Answers and the admission controller write it.
     pub feedback: Feedback,
     room: Mutex<Room>,
+    room_line: Paced,
     /// Told whenever there is something that other daemons should hear at once.
     pub news: Notify,
     /// Where a newer document was heard of.
@@ -196,6 +198,7 @@
             roster: ArcSwap::default(),
             feedback: Feedback::default(),
             room: Mutex::default(),
+            room_line: Paced::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
             newer_roster: watch::Sender::default(),
@@ -492,8 +495,23 @@
             let near = view.iter().filter(|member| member.record.service == service);
             near.filter(|member| member.takes_work(now)).map(|member| member.record.slots).sum()
         });
-        let capacity = Capacity { slots: f64::from(slots) * FILLED, wait: self.gate.backlog() };
-        lock(&self.room).ask(vm, work, capacity, now)
+        let (wait, turned_away) = self.gate.pressure();
+        let capacity = Capacity { slots: f64::from(slots) * FILLED, wait, turned_away };
+        let verdict = lock(&self.room).ask(vm, work, capacity, now);
+        if verdict.level > 0.0 && self.room_line.is_due(now) {
+            tracing::info!(
+                event = "service-overloaded",
+                vm = self.settings.vm,
+                service,
+                refuse_pct = (verdict.level * 100.0) as u64,
+                offered_pct = (verdict.busy * 100.0) as u64,
+                slots = capacity.slots,
+                wait_ms = wait.as_millis() as u64,
+                turned_away_pct = (turned_away * 100.0) as u64,
+                service_ms = self.gate.load().mean_us / 1_000,
+            );
+        }
+        verdict
     }
 }
 
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use crate::envelope::Load;
-use crate::guard::{Offer, Released, Ticket, Work};
+use crate::guard::{Held, Offer, Released, Ticket, Work};
 use crate::intake::{Intake, Observed};
 use crate::reason::Reason;
 use crate::sync::lock;
@@ -82,9 +82,11 @@
         self.lock().intake.observe(route)
     }
 
-    /// How long a request that comes now would wait for a slot.
-    pub fn backlog(&self) -> Duration {
-        self.lock().intake.guard.backlog()
+    /// How long a request that comes now would wait for a slot, and the part of the offered requests that
+    /// was refused lately.
+    pub fn pressure(&self) -> (Duration, f64) {
+        let state = self.lock();
+        (state.intake.guard.backlog(), state.intake.guard.turned_away())
     }
 
     fn permit(self: &Arc<Self>, route: &str, since: Time) -> Permit {
@@ -108,7 +110,7 @@
         while let Some(ticket) = start.pop() {
             let told = self.waiters.remove(&ticket).map(|waiter| waiter.send(None));
             if !matches!(told, Some(Ok(()))) {
-                start.extend(self.intake.guard.finish(None).start);
+                start.extend(self.intake.guard.finish(Held::Cut(Duration::ZERO)).start);
             }
         }
     }
@@ -157,7 +159,7 @@
         }
         // The slot was given between the end of the wait and this drop.
         if let Ok(None) = answer.try_recv() {
-            let released = state.intake.guard.finish(None);
+            let released = state.intake.guard.finish(Held::Cut(Duration::ZERO));
             state.deliver(released);
         }
     }
@@ -183,7 +185,8 @@
     fn drop(&mut self) {
         let service = self.gate.clock.now().since(self.since);
         let mut state = self.gate.lock();
-        let released = state.intake.finish(&self.route, self.whole.then_some(service));
+        let held = if self.whole { Held::Whole(service) } else { Held::Cut(service) };
+        let released = state.intake.finish(&self.route, held);
         state.deliver(released);
     }
 }
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -18,6 +18,10 @@
 /// How much one finished request moves the mean service time.
 const MEAN_GAIN: f64 = 0.05;
 
+/// How much one offered request moves the part that is refused; a hundred requests are a tenth of a second
+/// at a busy instance.
+const TURNED_GAIN: f64 = 0.01;
+
 /// One weight unit of [`Work::weight`], so that tags keep their precision as integers.
 const WEIGHT_UNIT: u64 = 1 << 16;
 
@@ -53,6 +57,26 @@
     Refuse(Reason),
 }
 
+/// For how long a request held a slot.
+#[derive(Debug, Clone, Copy)]
+pub enum Held {
+    /// Until its answer was whole.
+    Whole(Duration),
+    /// Until it was cut off, by its deadline, its caller or a failure. It would have taken longer.
+    Cut(Duration),
+}
+
+impl Held {
+    /// Moves a mean, in seconds, by this request. One that was cut off tells only that the mean is too
+    /// low; without it, a backend server that became slower than deadlines would still seem fast.
+    pub fn learn(self, mean: &mut f64, gain: f64) {
+        match self {
+            Self::Whole(span) => *mean += gain * (span.as_secs_f64() - *mean),
+            Self::Cut(span) => *mean += gain * (span.as_secs_f64() - *mean).max(0.0),
+        }
+    }
+}
+
 /// Tickets whose wait ended because of one event.
 #[derive(Debug, Default, PartialEq)]
 pub struct Released {
@@ -82,6 +106,7 @@
     in_flight: usize,
     longest_wait: Duration,
     mean_service: f64,
+    turned_away: f64,
     classes: BTreeMap<Rank, Class>,
     waiting: BTreeMap<Ticket, Place>,
     next: u64,
@@ -97,6 +122,7 @@
             in_flight: 0,
             longest_wait,
             mean_service: INITIAL_SERVICE.as_secs_f64(),
+            turned_away: 0.0,
             classes: BTreeMap::new(),
             waiting: BTreeMap::new(),
             next: 0,
@@ -145,8 +171,20 @@
         Released { start: self.start_waiting(), shed: Vec::new() }
     }
 
+    /// The part of the offered requests that was refused lately.
+    pub fn turned_away(&self) -> f64 {
+        self.turned_away
+    }
+
     /// Offers a request. Tickets in [`Released::shed`] lost their place to it.
     pub fn offer(&mut self, work: Work, now: Time) -> (Offer, Released) {
+        let (offer, released) = self.judge(work, now);
+        let refused = matches!(offer, Offer::Refuse(_)) || !released.shed.is_empty();
+        self.turned_away += TURNED_GAIN * (f64::from(u8::from(refused)) - self.turned_away);
+        (offer, released)
+    }
+
+    fn judge(&mut self, work: Work, now: Time) -> (Offer, Released) {
         let none = Released::default();
         if self.slots == 0 {
             return (Offer::Refuse(Reason::NotReady), none);
@@ -167,14 +205,10 @@
         (Offer::Wait(ticket), Released { start: self.start_waiting(), shed })
     }
 
-    /// Ends a request that held a slot for `service`, and starts the next.
-    ///
-    /// A cancelled request passes `None`, because its time says nothing about the service time.
-    pub fn finish(&mut self, service: Option<Duration>) -> Released {
+    /// Ends a request that held a slot, and starts the next.
+    pub fn finish(&mut self, held: Held) -> Released {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(service) = service {
-            self.mean_service += MEAN_GAIN * (service.as_secs_f64() - self.mean_service);
-        }
+        held.learn(&mut self.mean_service, MEAN_GAIN);
         Released { start: self.start_waiting(), shed: Vec::new() }
     }
 
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::envelope::Load;
-use crate::guard::{Guard, Released};
+use crate::guard::{Guard, Held, Released};
 
 /// How much one finished request moves what is known of its route.
 const HOLD_GAIN: f64 = 0.05;
@@ -34,17 +34,17 @@
         Self { guard: Guard::new(longest_wait), holds: BTreeMap::new() }
     }
 
-    /// Ends a request of `route` that held a slot for `span`; `None` when it was cancelled, because its
-    /// time then says nothing.
-    pub fn finish(&mut self, route: &str, span: Option<Duration>) -> Released {
-        if let Some(span) = span {
-            let span = span.as_secs_f64();
-            match self.holds.get_mut(route) {
-                Some(hold) => *hold += HOLD_GAIN * (span - *hold),
-                None => drop(self.holds.insert(route.to_owned(), span)),
+    /// Ends a request of `route` that held a slot for `held`.
+    pub fn finish(&mut self, route: &str, held: Held) -> Released {
+        match self.holds.get_mut(route) {
+            Some(hold) => held.learn(hold, HOLD_GAIN),
+            None => {
+                if let Held::Whole(span) = held {
+                    self.holds.insert(route.to_owned(), span.as_secs_f64());
+                }
             }
         }
-        self.guard.finish(span)
+        self.guard.finish(held)
     }
 
     /// What goes back with an answer to a request of `route`.
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,9 +1,14 @@
 //! Logs: one line of key=value pairs for each event.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
+use crate::time::Time;
+
 /// The variable that sets which events are written, such as `gypsumtack=debug`.
 pub const FILTER: &str = "GYPSUMTACK_LOG";
 
@@ -16,3 +21,22 @@
         tracing_subscriber::Layer::with_filter(tracing_subscriber::Layer::boxed(lines), filter);
     let _ = tracing_subscriber::registry().with(lines).try_init();
 }
+
+/// How often a state that lasts is written again.
+const PACE: Duration = Duration::from_secs(1);
+
+/// Lets a line about a state that lasts through once in a while.
+#[derive(Debug, Default)]
+pub struct Paced {
+    next: AtomicU64,
+}
+
+impl Paced {
+    /// Whether the line is to be written now. Of several that ask at once, one is told so.
+    pub fn is_due(&self, now: Time) -> bool {
+        let (now, next) = (now.as_micros(), self.next.load(Ordering::Relaxed));
+        let after = now + PACE.as_micros() as u64;
+        now >= next
+            && self.next.compare_exchange(next, after, Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+}
--- a/src/room.rs
+++ b/src/room.rs
@@ -36,6 +36,13 @@
 /// long. It corrects a wrong measure of the work, and so is slow.
 const FALL: f64 = 0.8;
 
+/// By how much the usable part falls in a second, for the part of requests that is turned away. Where
+/// requests would outlast their deadlines there is no queue, and so no wait that tells.
+const TURNED_FALL: f64 = 1.0;
+
+/// The part that may be turned away without a change; bursts of some milliseconds do that.
+const TURNED_CALM: f64 = 0.02;
+
 /// By how much it grows in a second while there is no wait.
 const RISE: f64 = 0.05;
 
@@ -50,6 +57,8 @@
     pub slots: f64,
     /// How long a request that comes to this instance now would wait for a slot.
     pub wait: Duration,
+    /// The part of the requests that came to this instance lately and were refused there.
+    pub turned_away: f64,
 }
 
 /// The answer to an entry.
@@ -90,7 +99,7 @@
         self.offered.retain(|_, (_, said)| now.since(*said) <= BELIEF_TIME);
         let offered: f64 = self.offered.values().map(|(work, _)| work).sum();
         let possible = capacity.slots.max(1.0);
-        self.adjust(capacity.wait, offered > possible * self.usable, now);
+        self.adjust(capacity, offered > possible * self.usable, now);
         let usable = self.usable - self.excess() / DRAIN_TIME.as_secs_f64();
         let level = 1.0 - possible * usable / offered.max(f64::MIN_POSITIVE);
         let level = level.clamp(0.0, f64::from(HIGHEST)) as f32;
@@ -99,13 +108,14 @@
 
     /// Moves the usable part by the wait. It says something only while work is refused, or the wait is
     /// too long; otherwise it returns to the whole.
-    fn adjust(&mut self, wait: Duration, refusing: bool, now: Time) {
+    fn adjust(&mut self, capacity: Capacity, refusing: bool, now: Time) {
         let seconds = now.since(self.decided).min(WAIT_TIME * 5).as_secs_f64();
         self.decided = now;
         let new = 1.0 - (-seconds / WAIT_TIME.as_secs_f64()).exp();
-        self.wait += new * (wait.as_secs_f64() - self.wait);
-        let change = match self.excess() {
-            excess if excess > 0.0 => -FALL * excess,
+        self.wait += new * (capacity.wait.as_secs_f64() - self.wait);
+        let turned = (capacity.turned_away - TURNED_CALM).max(0.0);
+        let change = match FALL * self.excess() + TURNED_FALL * turned {
+            fall if fall > 0.0 => -fall,
             _ if refusing => RISE,
             _ => (1.0 - self.usable).clamp(-RISE, RISE),
         };
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -6,6 +6,8 @@
 use gypsumtack::admission::{self, Flow};
 use gypsumtack::document::{CustomerId, Importance};
 use gypsumtack::fanout::Fanout;
+use gypsumtack::guard::Held;
+use gypsumtack::intake::Intake;
 use gypsumtack::room::{Capacity, HIGHEST, Room};
 use gypsumtack::time::Time;
 use rand::rngs::SmallRng;
@@ -256,7 +258,7 @@
         let step = STEP_MS as f64 / 1_000.0;
         for entry in 0..5 {
             let wait = Duration::from_secs_f64(self.queue / self.slots);
-            let capacity = Capacity { slots: self.slots, wait };
+            let capacity = Capacity { slots: self.slots, wait, turned_away: 0.0 };
             let told = load * self.slots / 5.0;
             self.level = self.room.ask(&format!("vm-{entry}"), told, capacity, now).level;
         }
@@ -297,7 +299,7 @@
 #[test]
 fn an_entry_that_falls_silent_is_forgotten() {
     let mut room = Room::default();
-    let capacity = Capacity { slots: 10.0, wait: Duration::ZERO };
+    let capacity = Capacity { slots: 10.0, wait: Duration::ZERO, turned_away: 0.0 };
     room.ask("vm-1", 30.0, capacity, Time::ZERO);
     let both = room.ask("vm-2", 5.0, capacity, Time::from_millis(100));
     assert!(both.level > 0.5 && both.busy > 3.0, "{both:?}");
@@ -305,3 +307,35 @@
     assert_eq!(alone.level, 0.0);
     assert!((alone.busy - 0.5).abs() < 1e-6);
 }
+
+/// Requests outlast their deadlines, so none of them ends by itself; the cost is learned all the same.
+#[test]
+fn a_service_slower_than_its_deadlines_is_seen_to_be_slow() {
+    let mut intake = Intake::new(Duration::from_millis(500));
+    intake.finish("peek", Held::Whole(Duration::from_millis(20)));
+    for _ in 0..100 {
+        intake.finish("peek", Held::Cut(Duration::from_millis(250)));
+    }
+    assert!(intake.observe("peek").hold >= Duration::from_millis(240));
+    for _ in 0..100 {
+        intake.finish("peek", Held::Cut(Duration::from_millis(5)));
+    }
+    let hold = intake.observe("peek").hold;
+    assert!(
+        hold >= Duration::from_millis(240),
+        "what its caller left early says nothing: {hold:?}"
+    );
+}
+
+/// Where nothing that waits could end in time there is no queue; what is turned away tells instead.
+#[test]
+fn work_that_is_turned_away_lowers_what_entries_let_in() {
+    let level = |turned_away| {
+        let mut room = Room::default();
+        let capacity = Capacity { slots: 10.0, wait: Duration::ZERO, turned_away };
+        let ask = |ms| room.ask("vm", 10.0, capacity, Time::from_millis(ms)).level;
+        (0..20).map(|at| at * 100).map(ask).last().unwrap()
+    };
+    assert_eq!(level(0.0), 0.0);
+    assert!(level(0.3) > 0.2);
+}
