Keep work away from a backend server that refuses everything

Change: the daemon beside an instance that refuses 16 requests in a row says so in its member record; others send it nothing but one try each 200 ms, of which the daemon beside lets one through, and its slots no longer count as room.

Ruled out: more candidates for each choice (the room would still be wrong); taking out instances that answer 5xx (a faulty route would take out a whole service).

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -110,6 +110,7 @@
         suspect: false,
         domain: format!("domain-{}", at % DOMAINS),
         service: format!("service-{}", at % SERVICES),
+        sheds: false,
         slots: 150,
         epoch: 9,
         peers: address,
--- a/examples/policy/fakes.rs
+++ b/examples/policy/fakes.rs
@@ -7,14 +7,11 @@
 
 use gypsumtack::bucket::Bucket;
 use gypsumtack::document::Policy;
-use gypsumtack::envelope::Reach;
 use gypsumtack::feedback::Feedback;
 use gypsumtack::guard::{Held, Offer, Released, Ticket, Work};
 use gypsumtack::intake::Intake;
 use gypsumtack::quarantine::Quarantine;
-use gypsumtack::reason::Outcome;
-use gypsumtack::retry::Failure;
-use gypsumtack::room::{Capacity, Room};
+use gypsumtack::room::Room;
 use gypsumtack::router::{self, Candidate};
 use gypsumtack::tables::Tables;
 use gypsumtack::time::Time;
@@ -28,16 +25,10 @@
 pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
 /// How often daemons decide what they refuse.
 const DECIDE_PERIOD: Duration = Duration::from_millis(50);
-/// Attempts of one call in the baseline, and in the policy.
-const NAIVE_ATTEMPTS: usize = 3;
-const ATTEMPTS: usize = 2;
-/// Retries of a service as a fraction of its successes, and at once.
-const RETRY_RATIO: f64 = 0.1;
+/// Retries of a service at once.
 const RETRY_BURST: f64 = 2.0;
 /// Slots that the policy leaves free, as a part.
 const SPARE: usize = 20;
-/// The part of the slots that work can fill.
-const FILLED: f64 = 0.94;
 /// How full an instance is when it slows down.
 const CROWDED: f64 = 0.95;
 
@@ -45,7 +36,7 @@
 pub struct World<'a> {
     pub now: Time,
     pub(super) deployment: &'a Deployment,
-    policy: Policy,
+    pub(super) policy: Policy,
     pub(super) naive: bool,
     slowed: f64,
     pub(super) vms: Vec<Vm>,
@@ -265,7 +256,7 @@
         self.attempt(frame);
     }
 
-    fn attempt(&mut self, frame: FrameId) {
+    pub(super) fn attempt(&mut self, frame: FrameId) {
         let f = &self.frames[frame];
         let (daemon, spec) = (f.daemon, &self.deployment.routes[f.route]);
         let service = spec.service;
@@ -347,7 +338,7 @@
         self.release(vm, released);
     }
 
-    fn refuse(&mut self, frame: FrameId, vm: usize) {
+    pub(super) fn refuse(&mut self, frame: FrameId, vm: usize) {
         self.frames[frame].refused = true;
         self.answer(frame, vm, false);
     }
@@ -392,7 +383,7 @@
     }
 
     /// The instance has done its own work, or a call has been answered: call on, or answer.
-    fn worked(&mut self, frame: FrameId, epoch: u32) {
+    pub(super) fn worked(&mut self, frame: FrameId, epoch: u32) {
         let Stage::Running(vm) = self.frames[frame].state else { return };
         if self.vms[vm].epoch != epoch {
             return;
@@ -415,12 +406,12 @@
     }
 
     /// Gives the slot back and answers.
-    fn finish(&mut self, frame: FrameId, vm: usize, whole: bool) {
+    pub(super) fn finish(&mut self, frame: FrameId, vm: usize, whole: bool) {
         self.free(frame, vm, whole);
         self.answer(frame, vm, whole);
     }
 
-    fn free(&mut self, frame: FrameId, vm: usize, whole: bool) {
+    pub(super) fn free(&mut self, frame: FrameId, vm: usize, whole: bool) {
         let service = self.vms[vm].service;
         let span = self.now.since(self.frames[frame].began);
         let place = usize::from(service != self.deployment.bottleneck);
@@ -447,146 +438,6 @@
         let hop = self.hop(daemon, vm);
         self.at(self.now + hop, Event::Answered(frame, whole));
     }
-
-    /// Entries tell services how much work they are offered for them.
-    fn ask_around(&mut self) {
-        if self.naive {
-            return;
-        }
-        for daemon in 0..self.vms.len() {
-            let own = &self.vms[daemon];
-            for (service, work) in own.feedback.due(&self.policy, &own.tables, self.now) {
-                let name = self.vms[daemon].name.clone();
-                let Some(at) = self.deployment.services.iter().position(|s| s.name == service)
-                else {
-                    continue;
-                };
-                let instances = || (0..self.vms.len()).filter(|&vm| self.vms[vm].service == at);
-                let Some(first) = instances().find(|&vm| !self.vms[vm].down) else { continue };
-                let up = instances().filter(|&vm| !self.vms[vm].down).count();
-                let slots = (self.deployment.services[at].slots * up) as f64 * FILLED;
-                let guard = &self.vms[first].intake.guard;
-                let (wait, turned_away) = (guard.backlog(), guard.turned_away());
-                let capacity = Capacity { slots, wait, turned_away };
-                let verdict = self.vms[first].room.ask(&name, work, capacity, self.now);
-                self.vms[daemon].feedback.hear(&service, verdict, self.now);
-            }
-        }
-    }
-
-    /// What goes back with an answer. It is taken to arrive at once.
-    fn report(&mut self, route: usize, vm: usize, daemon: usize) {
-        let spec = &self.deployment.routes[route];
-        let target = &self.vms[vm];
-        let observed = target.intake.observe(spec.name);
-        let load = observed.load;
-        let mut reach = target.feedback.reach_below(&target.tables, spec.name);
-        reach.push(Reach {
-            service: self.deployment.services[spec.service].name.to_owned(),
-            work_ms: observed.hold.as_secs_f32() * 1_000.0,
-        });
-        let source = target.name.clone();
-        let own = &mut self.vms[daemon];
-        own.reported[vm] = (load.in_flight + load.queued, load.mean_us);
-        let Some(state) = own.tables.routes.get(spec.name) else { return };
-        if state.is_curious(&source, self.now) {
-            state.learn(&reach);
-        }
-    }
-
-    fn answered(&mut self, frame: FrameId, whole: bool) {
-        let root = self.frames[frame].root;
-        if !self.roots[root].open && !self.naive {
-            return;
-        }
-        let service = self.deployment.routes[self.frames[frame].route].service;
-        let daemon = self.frames[frame].daemon;
-        self.note_crash(frame);
-        if whole {
-            self.vms[daemon].retries[service].put(RETRY_RATIO, self.now);
-        } else if self.retries(frame) {
-            return self.attempt(frame);
-        }
-        let refused = self.frames[frame].refused;
-        match self.frames[frame].parent {
-            None if whole => self.end(root, End::Whole),
-            None if refused => self.end(root, End::Refused(self.now)),
-            None => self.end(root, End::Failed),
-            Some(parent) => {
-                let Stage::Running(vm) = self.frames[parent].state else { return };
-                if !whole {
-                    return self.finish(parent, vm, false);
-                }
-                self.frames[parent].answered += 1;
-                let epoch = self.vms[vm].epoch;
-                self.worked(parent, epoch);
-            }
-        }
-    }
-
-    fn retries(&mut self, frame: FrameId) -> bool {
-        let root = self.frames[frame].root;
-        if !self.naive && self.is_quarantined(root) {
-            return false;
-        }
-        let f = &self.frames[frame];
-        if self.naive {
-            return f.tried.len() < NAIVE_ATTEMPTS && self.now < self.roots[root].request.deadline;
-        }
-        let left = self.roots[f.root].request.deadline.since(self.now);
-        let outcome = if f.refused { Outcome::NotRun } else { Outcome::Unknown };
-        let failure = Failure { outcome, elsewhere: f.refused || f.crashed, left };
-        let spec = &self.deployment.routes[f.route];
-        let other = f.tried.len() < self.deployment.services[spec.service].instances.len();
-        let bucket = &mut self.vms[f.daemon].retries[spec.service];
-        failure.may_retry(spec.idempotent)
-            && other
-            && f.tried.len() < ATTEMPTS
-            && (f.refused || bucket.take(1.0, self.now).is_ok())
-    }
-
-    fn wait_over(&mut self, frame: FrameId, ticket: Ticket) {
-        let Stage::Waiting(vm, waiting) = self.frames[frame].state else { return };
-        if waiting != ticket || !self.vms[vm].intake.guard.cancel(ticket) {
-            return;
-        }
-        self.vms[vm].tickets.remove(&ticket);
-        self.refuse(frame, vm);
-    }
-
-    /// The caller stops waiting. The policy cancels everything below; the baseline works on.
-    fn deadline(&mut self, root: RootId) {
-        if !self.roots[root].open {
-            return;
-        }
-        self.end(root, End::Failed);
-        if self.naive {
-            return;
-        }
-        for frame in self.roots[root].frames.clone() {
-            let daemon = self.frames[frame].daemon;
-            let state = std::mem::replace(&mut self.frames[frame].state, Stage::Over);
-            match state {
-                Stage::Waiting(vm, ticket) => {
-                    self.vms[vm].intake.guard.cancel(ticket);
-                    self.vms[vm].tickets.remove(&ticket);
-                    self.vms[daemon].sent[vm] -= 1;
-                }
-                Stage::Running(vm) => {
-                    self.vms[daemon].sent[vm] -= 1;
-                    self.free(frame, vm, false);
-                }
-                Stage::Sent(vm) => self.vms[daemon].sent[vm] -= 1,
-                Stage::Over => {}
-            }
-        }
-    }
-
-    fn end(&mut self, root: RootId, end: End) {
-        if std::mem::replace(&mut self.roots[root].open, false) {
-            self.ended.push((root, self.now, end));
-        }
-    }
 }
 
 pub(super) fn intake(slots: usize) -> Intake {
--- a/examples/policy/main.rs
+++ b/examples/policy/main.rs
@@ -5,6 +5,8 @@
 
 mod crash;
 mod deployment;
+mod ending;
+mod exchange;
 mod fakes;
 mod measure;
 mod parts;
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-use crate::board::BackendServer;
+use crate::announcement::BackendServer;
 use crate::connection::Lost;
 use crate::document::{CustomerId, Policy};
 use crate::envelope::{Envelope, Load, Reach, Report};
@@ -39,6 +39,9 @@
     let Some(backend) = usable_backend(shared, &envelope) else {
         return refuse(shared, &envelope, Reason::NotReady);
     };
+    if !board.may_try() {
+        return refuse(shared, &envelope, Reason::Shedding);
+    }
     if let Err(reason) = board.check_waiting(&envelope.route) {
         return refuse(shared, &envelope, reason);
     }
@@ -55,6 +58,11 @@
     let running = Running::begin(shared, &envelope.route);
     let answer = exchange(shared, &backend, &entry, message).await;
     drop(running);
+    match (&answer.report.reason, answer.report.outcome) {
+        (Some(Reason::Shed { .. }), _) => board.note_taken(true),
+        (_, Outcome::Ran) => board.note_taken(false),
+        _ => {}
+    }
     if answer.report.outcome == Outcome::Ran {
         permit.complete();
     }
--- /dev/null
+++ b/src/beside.rs
@@ -0,0 +1,150 @@
+//! What a daemon knows of the backend server beside it, as a part of the blackboard: how much work it can
+//! take, whether it takes any, and which requests it died under.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use crate::board::Board;
+use crate::envelope::Reach;
+use crate::quarantine::{Fingerprint, Quarantine, Standing};
+use crate::reason::Reason;
+use crate::room::{Capacity, Verdict};
+use crate::sync::lock;
+use crate::time::Time;
+
+/// The part of the slots that work can fill, those that are left free deducted.
+const FILLED: f64 = 0.94;
+
+impl Board {
+    /// Whether a request may be tried at the local backend server, or that refuses everything.
+    pub fn may_try(&self) -> bool {
+        lock(&self.shedding).admit(self.clock.now())
+    }
+
+    /// Notes whether the local backend server refused a request, and tells the others when that changes
+    /// what is known of it.
+    pub fn note_taken(&self, refused: bool) {
+        if lock(&self.shedding).note(refused, self.clock.now()) {
+            tracing::warn!(
+                event = "backend-sheds-everything",
+                vm = self.settings.vm,
+                sheds = refused
+            );
+            self.publish_self();
+        }
+    }
+
+    /// Takes the word of the entry on `vm` how much work it is offered for the local service.
+    pub fn ask_room(&self, vm: &str, work: f64) -> Verdict {
+        let now = self.clock.now();
+        let service = self.own_service();
+        let slots: u32 = self.read_view(|view| {
+            let near = view.iter().filter(|member| member.record.service == service);
+            let able = near.filter(|member| member.takes_work(now) && !member.record.sheds);
+            able.map(|member| member.record.slots).sum()
+        });
+        let (wait, turned_away) = self.gate.pressure();
+        let capacity = Capacity { slots: f64::from(slots) * FILLED, wait, turned_away };
+        let verdict = lock(&self.room).ask(vm, work, capacity, now);
+        if verdict.level > 0.0 && self.room_line.is_due(now) {
+            tracing::info!(
+                event = "service-overloaded",
+                vm = self.settings.vm,
+                service,
+                refuse_pct = (verdict.level * 100.0) as u64,
+                offered_pct = (verdict.busy * 100.0) as u64,
+                slots = capacity.slots,
+                wait_ms = wait.as_millis() as u64,
+                turned_away_pct = (turned_away * 100.0) as u64,
+                service_ms = self.gate.load().mean_us / 1_000,
+            );
+        }
+        verdict
+    }
+
+    /// Learns where a route leads from the local backend server.
+    pub fn learn_below(&self, route: &str, reach: &[Reach]) {
+        if let Some(below) = self.tables.load().below.get(route) {
+            below.learn(reach);
+        }
+    }
+
+    /// Notes that a route is served by the local backend server, wherever it leads.
+    pub fn learn_served(&self, route: &str) {
+        if let Some(below) = self.tables.load().below.get(route) {
+            below.served.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Refuses a request that would wait on a service that already holds its share of the slots.
+    ///
+    /// The bound keeps slots for routes that do not reach that service. Where every route reaches it,
+    /// there is nothing to keep slots for, and the bound does not apply.
+    ///
+    /// # Errors
+    ///
+    /// Returns the service and the numbers.
+    pub fn check_waiting(&self, route: &str) -> Result<(), Reason> {
+        let tables = self.tables.load();
+        let Some(below) = tables.below.get(route) else { return Ok(()) };
+        let slots = self.backend.load().as_ref().map_or(0, |backend| backend.slots);
+        let share = self.policy.load().limits.waiting_share;
+        let bound = ((f64::from(slots) * share) as u32).max(1);
+        for service in below.services().iter() {
+            let held = tables.services.get(service).map_or(0, |state| state.waiting());
+            if held >= bound && tables.serves_without(service) {
+                return Err(Reason::ServiceBound {
+                    service: service.clone(),
+                    held: u64::from(held),
+                    bound: u64::from(bound),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// What is known of a request. The fingerprint is made only while anything is known of any.
+    pub fn standing(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Standing {
+        if !self.suspicious.load(Ordering::Acquire) {
+            return Standing::Clear;
+        }
+        lock(&self.quarantine).standing(fingerprint(), self.clock.now())
+    }
+
+    /// Notes that a backend server died under a request, which other daemons should hear at once.
+    pub fn note_death(&self, fingerprint: Fingerprint) {
+        self.suspect(|quarantine, now| quarantine.died(fingerprint, now));
+        self.news.notify_one();
+    }
+
+    /// Changes what is known of requests that crashed backend servers.
+    pub fn suspect(&self, change: impl FnOnce(&mut Quarantine, Time)) {
+        let mut quarantine = lock(&self.quarantine);
+        change(&mut quarantine, self.clock.now());
+        self.suspicious.store(!quarantine.is_empty(), Ordering::Release);
+    }
+
+    /// Takes the one place for suspects on this VM; `None` while another suspect runs.
+    pub fn suspect_place(self: &Arc<Self>) -> Option<SuspectPlace> {
+        let taken = self.suspect_runs.swap(true, Ordering::AcqRel);
+        (!taken).then(|| SuspectPlace { board: Arc::clone(self) })
+    }
+
+    /// Notes that the local backend server is gone, until it announces itself again.
+    pub fn lose_backend(&self) {
+        self.backend.store(None);
+        self.publish_self();
+    }
+}
+
+/// The one place for suspects on a VM.
+#[derive(Debug)]
+pub struct SuspectPlace {
+    board: Arc<Board>,
+}
+
+impl Drop for SuspectPlace {
+    fn drop(&mut self) {
+        self.board.suspect_runs.store(false, Ordering::Release);
+    }
+}
--- a/src/board.rs
+++ b/src/board.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
+use crate::announcement::{Announced, BackendServer, usable_slots};
 use crate::document::{Policy, Text};
 use crate::envelope::Reach;
 use crate::feedback::Feedback;
@@ -22,93 +22,15 @@
 use crate::log::Paced;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
-use crate::quarantine::{Fingerprint, Quarantine, Standing};
-use crate::reason::Reason;
-use crate::room::{Capacity, Room, Verdict};
+use crate::quarantine::Quarantine;
+use crate::room::Room;
 use crate::roster::Roster;
 use crate::settings::Settings;
+use crate::shedding::Shedding;
 use crate::sync::lock;
 use crate::tables::Tables;
 use crate::time::{Clock, Time};
 
-/// What the local backend server announced.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct BackendServer {
-    /// Tells this start of it from every other; empty when it does not say.
-    #[serde(default)]
-    pub id: String,
-    /// When it was started, in milliseconds since 1970; 0 when it does not say.
-    #[serde(default)]
-    pub started: u64,
-    /// Grows with each announcement of one start, so that a late one can be told; 0 when it does not
-    /// count them.
-    #[serde(default)]
-    pub sequence: u64,
-    /// How much longer it is slow after its start, in milliseconds.
-    #[serde(default)]
-    pub cold_ms: u64,
-    /// The service that it runs.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it drains: it finishes what it has and gets nothing new.
-    #[serde(default)]
-    pub draining: bool,
-}
-
-impl BackendServer {
-    /// Whether `other` says the same of itself, however often it has said so.
-    fn agrees(&self, other: &Self) -> bool {
-        (&self.id, self.started, &self.service, self.address, self.slots, self.draining)
-            == (
-                &other.id,
-                other.started,
-                &other.service,
-                other.address,
-                other.slots,
-                other.draining,
-            )
-    }
-}
-
-/// Slots of a backend server from which some are left free: those that have few are used up.
-const FEW_SLOTS: u32 = 10;
-
-/// One slot in so many is left free, since backend servers slow down when they are nearly full.
-const SPARE_SLOTS: u32 = 20;
-
-/// The part of the slots that work can fill, those that are left free deducted.
-const FILLED: f64 = 0.94;
-
-/// The slots that are used of those that a backend server announces.
-fn usable_slots(slots: u32) -> usize {
-    let spare = if slots < FEW_SLOTS { 0 } else { slots.div_ceil(SPARE_SLOTS) };
-    (slots - spare) as usize
-}
-
-/// The newest announcement of the local backend server, remembered also after it has gone.
-#[derive(Debug, Clone, Default)]
-struct Announced {
-    id: String,
-    started: u64,
-    sequence: u64,
-    left: bool,
-}
-
-impl Announced {
-    /// Whether an announcement is older than what was heard: of an earlier start, late, or from one
-    /// that has said that it leaves for good.
-    fn outranks(&self, backend: &BackendServer) -> bool {
-        if (&self.id, self.started) != (&backend.id, backend.started) {
-            return backend.started < self.started;
-        }
-        self.left || backend.sequence < self.sequence
-    }
-}
-
 /// Where a document or a roster was heard of that is newer than the own one.
 #[derive(Debug, Clone, Copy)]
 pub struct Newer {
@@ -152,8 +74,9 @@
     pub roster: ArcSwap<Roster>,
     /// What is known of services beyond this daemon. Answers and the admission controller write it.
     pub feedback: Feedback,
-    room: Mutex<Room>,
-    room_line: Paced,
+    pub(crate) room: Mutex<Room>,
+    pub(crate) shedding: Mutex<Shedding>,
+    pub(crate) room_line: Paced,
     /// Told whenever there is something that other daemons should hear at once.
     pub news: Notify,
     /// Where a newer document was heard of.
@@ -168,8 +91,8 @@
     pub incarnation: u64,
     /// Requests that crashed backend servers.
     pub quarantine: Mutex<Quarantine>,
-    suspicious: AtomicBool,
-    suspect_runs: AtomicBool,
+    pub(crate) suspicious: AtomicBool,
+    pub(crate) suspect_runs: AtomicBool,
     in_flight: AtomicUsize,
     counter: AtomicU64,
     leaving: AtomicBool,
@@ -198,6 +121,7 @@
             roster: ArcSwap::default(),
             feedback: Feedback::default(),
             room: Mutex::default(),
+            shedding: Mutex::default(),
             room_line: Paced::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
@@ -444,6 +368,7 @@
             domain: self.settings.failure_domain.clone(),
             service: backend.as_ref().map(|b| b.service.clone()).unwrap_or_default(),
             slots: backend.as_ref().map_or(0, |b| b.slots),
+            sheds: lock(&self.shedding).is_shedding(),
             epoch: self.roster.load().epoch,
             peers: self.settings.listen.peers,
             control: self.settings.listen.control,
@@ -486,123 +411,6 @@
             state.learn(reach);
         }
     }
-
-    /// Takes the word of the entry on `vm` how much work it is offered for the local service.
-    pub fn ask_room(&self, vm: &str, work: f64) -> Verdict {
-        let now = self.clock.now();
-        let service = self.own_service();
-        let slots: u32 = self.read_view(|view| {
-            let near = view.iter().filter(|member| member.record.service == service);
-            near.filter(|member| member.takes_work(now)).map(|member| member.record.slots).sum()
-        });
-        let (wait, turned_away) = self.gate.pressure();
-        let capacity = Capacity { slots: f64::from(slots) * FILLED, wait, turned_away };
-        let verdict = lock(&self.room).ask(vm, work, capacity, now);
-        if verdict.level > 0.0 && self.room_line.is_due(now) {
-            tracing::info!(
-                event = "service-overloaded",
-                vm = self.settings.vm,
-                service,
-                refuse_pct = (verdict.level * 100.0) as u64,
-                offered_pct = (verdict.busy * 100.0) as u64,
-                slots = capacity.slots,
-                wait_ms = wait.as_millis() as u64,
-                turned_away_pct = (turned_away * 100.0) as u64,
-                service_ms = self.gate.load().mean_us / 1_000,
-            );
-        }
-        verdict
-    }
-}
-
-impl Board {
-    /// Learns where a route leads from the local backend server.
-    pub fn learn_below(&self, route: &str, reach: &[Reach]) {
-        if let Some(below) = self.tables.load().below.get(route) {
-            below.learn(reach);
-        }
-    }
-
-    /// Notes that a route is served by the local backend server, wherever it leads.
-    pub fn learn_served(&self, route: &str) {
-        if let Some(below) = self.tables.load().below.get(route) {
-            below.served.store(true, Ordering::Relaxed);
-        }
-    }
-
-    /// Refuses a request that would wait on a service that already holds its share of the slots.
-    ///
-    /// The bound keeps slots for routes that do not reach that service. Where every route reaches it,
-    /// there is nothing to keep slots for, and the bound does not apply.
-    ///
-    /// # Errors
-    ///
-    /// Returns the service and the numbers.
-    pub fn check_waiting(&self, route: &str) -> Result<(), Reason> {
-        let tables = self.tables.load();
-        let Some(below) = tables.below.get(route) else { return Ok(()) };
-        let slots = self.backend.load().as_ref().map_or(0, |backend| backend.slots);
-        let share = self.policy.load().limits.waiting_share;
-        let bound = ((f64::from(slots) * share) as u32).max(1);
-        for service in below.services().iter() {
-            let held = tables.services.get(service).map_or(0, |state| state.waiting());
-            if held >= bound && tables.serves_without(service) {
-                return Err(Reason::ServiceBound {
-                    service: service.clone(),
-                    held: u64::from(held),
-                    bound: u64::from(bound),
-                });
-            }
-        }
-        Ok(())
-    }
-}
-
-impl Board {
-    /// What is known of a request. The fingerprint is made only while anything is known of any.
-    pub fn standing(&self, fingerprint: impl FnOnce() -> Fingerprint) -> Standing {
-        if !self.suspicious.load(Ordering::Acquire) {
-            return Standing::Clear;
-        }
-        lock(&self.quarantine).standing(fingerprint(), self.clock.now())
-    }
-
-    /// Notes that a backend server died under a request, which other daemons should hear at once.
-    pub fn note_death(&self, fingerprint: Fingerprint) {
-        self.suspect(|quarantine, now| quarantine.died(fingerprint, now));
-        self.news.notify_one();
-    }
-
-    /// Changes what is known of requests that crashed backend servers.
-    pub fn suspect(&self, change: impl FnOnce(&mut Quarantine, Time)) {
-        let mut quarantine = lock(&self.quarantine);
-        change(&mut quarantine, self.clock.now());
-        self.suspicious.store(!quarantine.is_empty(), Ordering::Release);
-    }
-
-    /// Takes the one place for suspects on this VM; `None` while another suspect runs.
-    pub fn suspect_place(self: &Arc<Self>) -> Option<SuspectPlace> {
-        let taken = self.suspect_runs.swap(true, Ordering::AcqRel);
-        (!taken).then(|| SuspectPlace { board: Arc::clone(self) })
-    }
-
-    /// Notes that the local backend server is gone, until it announces itself again.
-    pub fn lose_backend(&self) {
-        self.backend.store(None);
-        self.publish_self();
-    }
-}
-
-/// The one place for suspects on a VM.
-#[derive(Debug)]
-pub struct SuspectPlace {
-    board: Arc<Board>,
-}
-
-impl Drop for SuspectPlace {
-    fn drop(&mut self) {
-        self.board.suspect_runs.store(false, Ordering::Release);
-    }
 }
 
 /// Counts a request that this daemon works on, until it is dropped.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -62,8 +62,9 @@
     let mut tried = BTreeSet::new();
     let mut best: Option<Answer> = None;
     let mut turned_away = 0;
+    let mut next = choose(board, call, &service.name, service.ramp, &tried);
     loop {
-        let Some(instance) = choose(board, call, &service.name, service.ramp, &tried) else {
+        let Some(instance) = next else {
             let known = board.instances.load().of(&service.name).len() as u64;
             let reason = Reason::NoInstance { service: service.name.clone(), known };
             return best.unwrap_or_else(|| Answer::not_run(call.envelope.request.clone(), reason));
@@ -84,15 +85,17 @@
             return answer;
         }
         let quarantined = matches!(board.standing(fingerprint), Standing::Quarantined(_));
-        let mut again = !quarantined
-            && failure(&answer, call.deadline.since(now)).may_retry(call.idempotent)
-            && choose(board, call, &service.name, service.ramp, &tried).is_some();
-        if again && is_turned_away(&answer) {
+        let may =
+            !quarantined && failure(&answer, call.deadline.since(now)).may_retry(call.idempotent);
+        next = if may { choose(board, call, &service.name, service.ramp, &tried) } else { None };
+        let again = if next.is_none() {
+            false
+        } else if is_turned_away(&answer) {
             turned_away += 1;
-            again = turned_away <= MOST_TURNED_AWAY;
-        } else if again {
-            again = take_retry(state.as_deref(), ledger, now);
-        }
+            turned_away <= MOST_TURNED_AWAY
+        } else {
+            take_retry(state.as_deref(), ledger, now)
+        };
         let answer = telling(best.take(), answer);
         if !again {
             return answer;
@@ -127,6 +130,7 @@
                 | Reason::NotReady
                 | Reason::Leaving
                 | Reason::ServiceBound { .. }
+                | Reason::Shedding
                 | Reason::TooManyConnections { .. }
         )
     );
@@ -156,6 +160,10 @@
     let instances = board.instances.load();
     let all = instances.of(service);
     let now = board.clock.now();
+    let mut others = all.iter().filter(|instance| !tried.contains(&instance.vm));
+    if let Some(shedding) = others.find(|instance| instance.is_due_a_try(now)) {
+        return Some(Arc::clone(shedding));
+    }
     let candidates: Vec<_> = all
         .iter()
         .enumerate()
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 use crate::envelope::Load;
 use crate::member::{Member, View};
 use crate::router::Candidate;
+use crate::shedding::TRY_PERIOD;
 use crate::sync::lock;
 use crate::time::Time;
 
@@ -50,6 +51,8 @@
     failures: Mutex<Failures>,
     failed_until: AtomicU64,
     shed_until: AtomicU64,
+    sheds: AtomicBool,
+    next_try: AtomicU64,
 }
 
 impl Instance {
@@ -68,6 +71,8 @@
             sent: AtomicU32::new(0),
             failed_until: AtomicU64::new(0),
             shed_until: AtomicU64::new(0),
+            sheds: AtomicBool::new(record.sheds),
+            next_try: AtomicU64::new(0),
         }
     }
 
@@ -103,10 +108,23 @@
         Sent { instance: Arc::clone(self) }
     }
 
-    /// The instance as a candidate, or `None` while connections to it fail.
+    /// Whether a request should now see whether its backend server still refuses everything. The one that
+    /// is told so is sent there.
+    pub fn is_due_a_try(&self, now: Time) -> bool {
+        if !self.sheds.load(Ordering::Relaxed) || self.is_failing(now) {
+            return false;
+        }
+        let (now, next) = (now.as_micros(), self.next_try.load(Ordering::Relaxed));
+        let after = now + TRY_PERIOD.as_micros() as u64;
+        let (set, get) = (Ordering::Relaxed, Ordering::Relaxed);
+        now >= next && self.next_try.compare_exchange(next, after, set, get).is_ok()
+    }
+
+    /// The instance as a candidate, or `None` while connections to it fail or its backend server refuses
+    /// everything.
     pub fn candidate(&self, index: usize, ramp: Duration, now: Time) -> Option<Candidate> {
         let now_micros = now.as_micros();
-        if self.is_failing(now) {
+        if self.is_failing(now) || self.sheds.load(Ordering::Relaxed) {
             return None;
         }
         let mut slots = f64::from(self.slots) * self.ramp(ramp, now);
@@ -190,6 +208,7 @@
             let fresh = Instance::new(member, domain);
             let kept = self.of(&record.service).iter().find(|old| old.same_as(&fresh));
             let instance = kept.map_or_else(|| Arc::new(fresh), Arc::clone);
+            instance.sheds.store(record.sheds, Ordering::Relaxed);
             services.entry(record.service.clone()).or_default().push(instance);
         }
         Self { services }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,9 @@
 //! docs/DESIGN.md records what was weighed; docs/OPERATING.md is for operators.
 
 pub mod admission;
+pub mod announcement;
 pub mod backend;
+pub mod beside;
 pub mod board;
 pub mod breaker;
 pub mod bucket;
@@ -40,6 +42,7 @@
 pub mod forward;
 pub mod gate;
 pub mod guard;
+pub mod handshake;
 pub mod head;
 pub mod instance;
 pub mod intake;
@@ -64,6 +67,7 @@
 pub mod settings;
 pub mod share;
 pub mod shared;
+pub mod shedding;
 pub mod store;
 pub mod sync;
 pub mod tables;
--- a/src/log.rs
+++ b/src/log.rs
@@ -15,7 +15,7 @@
 /// Starts writing events to standard error. A second call does nothing.
 pub fn start() {
     let filter = EnvFilter::try_from_env(FILTER)
-        .unwrap_or_else(|_| EnvFilter::new("info,xitca_server=warn"));
+        .unwrap_or_else(|_| EnvFilter::new("info,xitca_server=warn,tarpc=error"));
     let lines = tracing_logfmt::builder().with_target(false).layer().with_writer(std::io::stderr);
     let lines =
         tracing_subscriber::Layer::with_filter(tracing_subscriber::Layer::boxed(lines), filter);
--- a/src/member.rs
+++ b/src/member.rs
@@ -54,6 +54,8 @@
     pub service: String,
     /// Slots of its backend server.
     pub slots: u32,
+    /// Whether its backend server refuses everything that it is sent.
+    pub sheds: bool,
     /// The epoch of the newest roster that it knows.
     pub epoch: u64,
     /// Where it takes requests from other daemons.
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -13,7 +13,7 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::route::{get, post};
 
-use crate::board::BackendServer;
+use crate::announcement::BackendServer;
 use crate::envelope::{Load, RequestId};
 use crate::journal::Entry;
 use crate::member::Record;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -11,21 +11,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
-use serde::de::DeserializeOwned;
+use futures::StreamExt;
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tarpc::{client, context};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OnceCell, watch};
 
 use crate::backend;
 use crate::board::Newer;
-use crate::codec::{self, Postcard};
+use crate::codec::Postcard;
 use crate::document::Text;
 use crate::envelope::Envelope;
-use crate::key::{FleetKeys, Proof};
+use crate::handshake;
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::quarantine::Rumor;
@@ -36,9 +34,6 @@
 use crate::sync::lock;
 use crate::time::{Clock, Time};
 
-/// The largest message, in bytes: the largest body that daemons hold must fit.
-const LARGEST_MESSAGE: usize = 72 << 20;
-
 /// The longest that opening a link may take. A VM without power does not even refuse, and a request
 /// waits for this.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
@@ -342,37 +337,8 @@
     tracing::debug!(event = "link-unopened", vm = shared.board.settings.vm, %address, %error);
 }
 
-/// What stands in the first frame of a link, from the end that opens it.
-#[derive(Debug, Serialize, Deserialize)]
-struct Hello {
-    challenge: Proof,
-}
-
-/// The answer: the accepting end's own challenge, and its proof that it knows the secret.
-#[derive(Debug, Serialize, Deserialize)]
-struct Welcome {
-    challenge: Proof,
-    proof: Proof,
-}
-
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-
-fn frames(stream: TcpStream) -> io::Result<Frames> {
-    stream.set_nodelay(true)?;
-    let mut codec = LengthDelimitedCodec::builder();
-    Ok(codec.max_frame_length(LARGEST_MESSAGE).new_framed(stream))
-}
-
 async fn open(shared: &Shared, address: SocketAddr) -> io::Result<Arc<Link>> {
-    let mut frames = frames(TcpStream::connect(address).await?)?;
-    let keys = &shared.keys;
-    let challenge = Proof::random(&mut rand::rng());
-    frames.send(codec::encode(&Hello { challenge })?).await?;
-    let welcome: Welcome = receive(&mut frames).await?;
-    if !keys.proves(&welcome.proof, &challenge, ACCEPTED) {
-        return Err(io::Error::new(io::ErrorKind::PermissionDenied, "its secret is another"));
-    }
-    frames.send(codec::encode(&keys.prove(&welcome.challenge, OPENED))?).await?;
+    let frames = handshake::open(&shared.keys, address).await?;
     let transport = tarpc::serde_transport::new(frames, Postcard);
     let mut config = client::Config::default();
     config.max_in_flight_requests = usize::MAX;
@@ -387,31 +353,6 @@
     Ok(Arc::new(link))
 }
 
-/// What the end that opens a link proves, beside the challenge.
-const OPENED: &[u8] = b"opened";
-
-/// What the end that accepts a link proves, beside the challenge.
-const ACCEPTED: &[u8] = b"accepted";
-
-async fn receive<T: DeserializeOwned>(frames: &mut Frames) -> io::Result<T> {
-    let frame = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    codec::decode(&frame)
-}
-
-/// Checks that the other end knows the secret, before any message of it is read.
-async fn accept(keys: &FleetKeys, stream: TcpStream) -> io::Result<Frames> {
-    let mut frames = frames(stream)?;
-    let hello: Hello = receive(&mut frames).await?;
-    let proof = keys.prove(&hello.challenge, ACCEPTED);
-    let challenge = Proof::random(&mut rand::rng());
-    frames.send(codec::encode(&Welcome { challenge, proof })?).await?;
-    let proof: Proof = receive(&mut frames).await?;
-    if !keys.proves(&proof, &challenge, OPENED) {
-        return Err(io::Error::new(io::ErrorKind::PermissionDenied, "its secret is another"));
-    }
-    Ok(frames)
-}
-
 fn beat_of(shared: &Shared) -> Beat {
     let board = &shared.board;
     let age = board.clock.now().since(board.confirmed());
@@ -513,7 +454,8 @@
 }
 
 async fn serve_link(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    let accepted = tokio::time::timeout(HEARTBEAT_TIME, accept(&shared.keys, stream)).await;
+    let accepted =
+        tokio::time::timeout(HEARTBEAT_TIME, handshake::accept(&shared.keys, stream)).await;
     let Ok(Ok(frames)) = accepted else { return };
     let transport = tarpc::serde_transport::new(frames, Postcard);
     let channel = BaseChannel::with_defaults(transport);
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -128,6 +128,8 @@
         /// The status of its answer.
         status: u16,
     },
+    /// The backend server refuses everything lately, and this request was kept away from it.
+    Shedding,
     /// The instance's connection failed or its answer was incomplete.
     BadAnswer {
         /// What was wrong with it.
@@ -175,6 +177,7 @@
             Self::BadRequest { .. } => "bad-request",
             Self::Isolated { .. } => "isolated",
             Self::Shed { .. } => "shed",
+            Self::Shedding => "shedding",
             Self::BadAnswer { .. } => "bad-answer",
             Self::Quarantined { .. } => "quarantined",
             Self::Crashed => "crashed",
@@ -217,6 +220,7 @@
             | Self::ClaimUnavailable
             | Self::Isolated { .. }
             | Self::Shed { .. }
+            | Self::Shedding
             | Self::Quarantined { .. }
             | Self::SuspectRuns
             | Self::TooManyConnections { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -240,6 +244,7 @@
             | Self::ClaimPending
             | Self::DeadlinePassed { .. }
             | Self::Shed { .. }
+            | Self::Shedding
             | Self::BadAnswer { .. }
             | Self::Crashed
             | Self::SuspectRuns
@@ -257,6 +262,7 @@
                 | Self::NotReady
                 | Self::Leaving
                 | Self::Shed { .. }
+                | Self::Shedding
                 | Self::BadAnswer { .. }
                 | Self::ServiceBound { .. }
                 | Self::Crashed
@@ -353,6 +359,11 @@
                 f,
                 "the backend server answered {status} and did not run the request; come back later"
             ),
+            Self::Shedding => write!(
+                f,
+                "the backend server refuses everything lately, and only a few requests try it; come back \
+                 later and look at its own log"
+            ),
             Self::BadAnswer { problem } => write!(f, "{problem}; look at the instance's own log"),
             Self::Quarantined { seconds } => write!(
                 f,
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gypsumtack::board::BackendServer;
+use gypsumtack::announcement::BackendServer;
 use gypsumtack::dialect::Dialect;
 use gypsumtack::message::{self, Response};
 use gypsumtack::server::{self, Bounds};
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -230,6 +230,7 @@
         suspect,
         domain: "a".into(),
         service: "s".into(),
+        sheds: false,
         slots: 1,
         epoch: 0,
         peers: address,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,7 +7,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use gypsumtack::board::BackendServer;
+use gypsumtack::announcement::BackendServer;
+use gypsumtack::daemon::Adapter;
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
 use gypsumtack::time::Clock;
@@ -34,6 +35,8 @@
 }
 
 pub struct Fleet {
+    /// How daemons that are added speak.
+    pub adapter: Adapter,
     pub platform: Platform,
     pub caller: Caller,
     pub seen: Arc<Seen>,
@@ -44,6 +47,7 @@
     pub async fn start(document: &str) -> Self {
         let platform = Platform::start(([127, 0, 0, 1], 0).into(), 1).await.unwrap();
         let fleet = Self {
+            adapter: Adapter::own(),
             platform,
             caller: Caller::new(),
             seen: Arc::new(Seen::default()),
@@ -66,7 +70,7 @@
     }
 
     pub async fn add_with(&mut self, settings: Settings, plan: Plan) -> usize {
-        let daemon = Daemon::start(settings).await.unwrap();
+        let daemon = Daemon::start_with(settings, self.adapter.clone()).await.unwrap();
         let listen = daemon.board().settings.listen.clone();
         let seen = Arc::clone(&self.seen);
         let backend = Backend::start(plan, listen.egress, listen.operators, seen).await.unwrap();
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -9,11 +9,15 @@
 use http::HeaderName;
 
 const FAILS: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\noops";
+const REFUSES: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n";
 const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// An entry beside a service of its own, and `count` instances of the service that is asked for.
+/// An entry beside a service of its own, and `count` instances of the service that is asked for. Backend
+/// servers can say that they refuse.
 async fn instances(count: usize) -> Fleet {
     let mut fleet = Fleet::start(&document()).await;
+    fleet.adapter.dialect.not_run = Some(HeaderName::from_static("x-refused"));
     fleet.add("a", plan("front", 8, 1, &[])).await;
     for _ in 0..count {
         fleet.add("a", plan("deep", 8, 1, &[])).await;
@@ -71,3 +75,31 @@
     assert_eq!((answer.status.as_u16(), answer.outcome()), (503, "not-run"));
     assert!(answer.headers.contains_key(http::header::RETRY_AFTER), "{answer:?}");
 }
+
+/// The only backend server refuses everything while it says that it is ready. Another one comes, and the
+/// first one mends.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_refuses_everything_gets_nothing_until_it_mends() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nconnection: close\r\n\r\nback";
+    let mut fleet = instances(1).await;
+    let board = fleet.nodes[0].daemon.board().clone();
+    let sheds = || board.read_view(|view| view.get("vm-1").is_some_and(|vm| vm.record.sheds));
+    let refusing = fleet.strange(1, vec![REFUSES]).await;
+    let question = || Question::get("/deep").key("acme-key");
+    while !sheds() {
+        assert_eq!(fleet.ask(0, question()).await.status.as_u16(), 503);
+    }
+    let refused = refusing.load(Ordering::Relaxed);
+    assert!(refused < 40, "it was kept away from {refused} requests");
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    fleet::until("both are known", || board.instances.load().of("deep").len() == 2).await;
+    for _ in 0..50 {
+        let answer = fleet.ask(0, question()).await;
+        assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "ran"));
+    }
+    let mended = fleet.strange(1, vec![WHOLE]).await;
+    while sheds() {
+        assert_eq!(fleet.ask(0, question()).await.outcome(), "ran");
+    }
+    assert!(mended.load(Ordering::Relaxed) > 0, "a request was let through to see");
+}
--- a/tests/surges.rs
+++ b/tests/surges.rs
@@ -7,6 +7,10 @@
 mod crash;
 #[path = "../examples/policy/deployment.rs"]
 mod deployment;
+#[path = "../examples/policy/ending.rs"]
+mod ending;
+#[path = "../examples/policy/exchange.rs"]
+mod exchange;
 #[path = "../examples/policy/fakes.rs"]
 mod fakes;
 #[path = "../examples/policy/measure.rs"]
