Serve no document before another daemon has confirmed it

Reading the code gave two ways to it: a daemon that starts while the store answers with an old state installs that document and serves it at once, and hears of the newer one only with its first heartbeat; and a newer version whose fetch from the daemon that told of it failed was not asked for again until a still newer one was heard of.

Change: a daemon that has just started serves once another daemon has said which version is in force, when the members were read and nobody else is known, or after 1.5 s. A version that could not be fetched is forgotten, so that the next word of it is followed; the same for rosters.

Ruled out: reading the store twice (both reads may be old); waiting without bound (an outage of all would stop a fleet that restarts).

--- a/src/board.rs
+++ b/src/board.rs
@@ -31,6 +31,10 @@
 use crate::tables::Tables;
 use crate::time::{Clock, Time};
 
+/// The longest that a daemon that has just started waits to hear which document is in force. Another one
+/// answers within a round of heartbeats, or cannot be reached.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(1_500);
+
 /// Where a document or a roster was heard of that is newer than the own one.
 #[derive(Debug, Clone, Copy)]
 pub struct Newer {
@@ -102,6 +106,12 @@
     first_start: AtomicBool,
 }
 
+    introduced: AtomicBool,
+    scanned: AtomicBool,
+    /// Set once, when the first document may be served.
+    current: AtomicBool,
+    /// When the first document was there, in microseconds.
+    has_document: AtomicU64,
 impl Board {
     /// Makes the blackboard of a daemon that is about to start.
     pub fn new(settings: Settings, clock: Clock, incarnation: u64) -> Self {
@@ -142,6 +152,10 @@
             settings,
         }
     }
+            introduced: AtomicBool::new(false),
+            scanned: AtomicBool::new(false),
+            current: AtomicBool::new(false),
+            has_document: AtomicU64::new(u64::MAX),
 
     /// Puts a document in force. Lower versions are ignored, so that none ever comes back.
     pub fn install(&self, policy: Policy) -> bool {
@@ -313,9 +327,56 @@
         announced.unwrap_or_else(|| self.settings.service.clone())
     }
 
-    /// Whether this daemon can serve callers: it knows a document and is not leaving.
+    /// Whether this daemon can serve callers: it knows a document that is current and is not leaving.
     pub fn is_serving(&self) -> bool {
-        self.policy.load().version > 0 && !self.is_leaving()
+        self.is_current() && !self.is_leaving()
+    }
+
+    /// Whether the document may be served. A daemon that has just started may have read an old one from
+    /// a store that answers late, so it first hears from another daemon which one is in force. It waits
+    /// for that no longer than [`INTRODUCTION_TIME`], and not at all where nobody else is known.
+    pub fn is_current(&self) -> bool {
+        if self.current.load(Ordering::Acquire) {
+            return true;
+        }
+        let version = self.policy.load().version;
+        if version == 0 {
+            return false;
+        }
+        let now = self.clock.now();
+        let since = self.has_document.fetch_min(now.as_micros(), Ordering::AcqRel);
+        let heard = self.introduced.load(Ordering::Acquire)
+            && self.newer_document.borrow().version <= version;
+        let alone = self.scanned.load(Ordering::Acquire) && self.read_view(View::len) <= 1;
+        let waited = now.since(Time::from_micros(since)) >= INTRODUCTION_TIME;
+        let current = heard || alone || waited;
+        if current {
+            self.current.store(true, Ordering::Release);
+            tracing::info!(event = "serving", vm = self.settings.vm, version, heard, alone);
+        }
+        current
+    }
+
+    /// Notes that another daemon has said which document and roster it knows.
+    pub fn note_introduced(&self) {
+        self.introduced.store(true, Ordering::Release);
+    }
+
+    /// Notes that the members were read from the store.
+    pub fn note_scanned(&self) {
+        self.scanned.store(true, Ordering::Release);
+    }
+
+    /// Forgets where a version was heard of that could not be fetched there, so that the next word of it
+    /// is followed.
+    pub fn forget_newer(&self, newer: &watch::Sender<Newer>, version: u64) {
+        tracing::info!(event = "newer-unfetched", vm = self.settings.vm, version);
+        newer.send_if_modified(|newest| {
+            if newest.version == version {
+                newest.version = 0;
+            }
+            false
+        });
     }
 
     /// All metrics in the text format of Prometheus.
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -221,6 +221,7 @@
     let rows = shared.store.scan(MEMBERS).await?.rows;
     let records: Vec<Record> = rows.iter().filter_map(Row::decode).collect();
     let me = &board.settings.vm;
+    board.note_scanned();
     board.update_view(|view, now| {
         for record in records.into_iter().filter(|record| record.vm != *me) {
             view.merge(record, now);
@@ -247,6 +248,7 @@
             None => {
                 if let Err(error) = read_roster(shared).await {
                     note_failure(shared, &error);
+                    shared.board.forget_newer(&shared.board.newer_roster, version);
                 }
             }
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -80,10 +80,10 @@
     visit: &mut Visit<'a>,
     message: &mut Message,
 ) -> Result<(), Reason> {
-    if policy.version == 0 {
+    let board = &shared.board;
+    if !board.is_current() {
         return Err(Reason::NoDocument);
     }
-    let board = &shared.board;
     let path = message.uri.path();
     let Some(route) = policy.route(message.host(), message.method.as_str(), path) else {
         return Err(Reason::UnknownRoute { path: path.chars().take(PATH_SHOWN).collect() });
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -150,8 +150,10 @@
         if version <= shared.board.policy.load().version {
             continue;
         }
-        if let Some(text) = shared.links.document(shared, control).await {
-            install(shared, text);
+        match shared.links.document(shared, control).await {
+            Some(text) => install(shared, text),
+            // Whoever tells of it next is asked again.
+            None => shared.board.forget_newer(&shared.board.newer_document, version),
         }
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -392,6 +392,7 @@
         board.confirm(board.clock.now() - Duration::from_millis(u64::from(beat.age_ms)));
     }
     hear(&board.newer_document, beat.document, control);
+    board.note_introduced();
     hear(&board.newer_roster, beat.roster, control);
 }
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -75,7 +75,7 @@
         let seen = Arc::clone(&self.seen);
         let backend = Backend::start(plan, listen.egress, listen.operators, seen).await.unwrap();
         let board = Arc::clone(daemon.board());
-        until("the document is in force", || board.policy.load().version > 0).await;
+        until("the document is in force", || board.is_serving()).await;
         until("the backend server is announced", || board.is_ready()).await;
         self.nodes.push(Node { daemon, backend });
         self.nodes.len() - 1
