Bound the lines about refusals, and lead from a failed request to its cause

Change: of refusals with one reason 25 lines a second are written, each with the number of events that it stands for; what may have run is never sampled.

Ruled out: sampling by chance (rare reasons would vanish). Processor time with and without: not measured.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,7 +9,7 @@
 /// Exit code for settings that are wrong or addresses that cannot be bound.
 const BAD_SETTINGS: u8 = 2;
 
-/// The daemon of one backend server VM. It needs nothing but its settings; docs/OPERATING.md
+/// The daemon of one backend server VM. It needs nothing but its settings; docs/OPERATIONS.md
 /// describes them.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
--- a/src/board.rs
+++ b/src/board.rs
@@ -19,7 +19,7 @@
 use crate::instance::Instances;
 use crate::journal::Journal;
 use crate::live::LiveTable;
-use crate::log::Paced;
+use crate::log::{Paced, Sampler};
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
@@ -81,6 +81,8 @@
     pub(crate) room: Mutex<Room>,
     pub(crate) shedding: Mutex<Shedding>,
     pub(crate) room_line: Paced,
+    /// Bounds the lines about refusals.
+    pub refusal_lines: Sampler,
     /// Told whenever there is something that other daemons should hear at once.
     pub news: Notify,
     /// Where a newer document was heard of.
@@ -104,14 +106,14 @@
     isolated_since: AtomicU64,
     confirmed: AtomicU64,
     first_start: AtomicBool,
-}
-
     introduced: AtomicBool,
     scanned: AtomicBool,
     /// Set once, when the first document may be served.
     current: AtomicBool,
     /// When the first document was there, in microseconds.
     has_document: AtomicU64,
+}
+
 impl Board {
     /// Makes the blackboard of a daemon that is about to start.
     pub fn new(settings: Settings, clock: Clock, incarnation: u64) -> Self {
@@ -133,6 +135,7 @@
             room: Mutex::default(),
             shedding: Mutex::default(),
             room_line: Paced::default(),
+            refusal_lines: Sampler::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
             newer_roster: watch::Sender::default(),
@@ -149,13 +152,13 @@
             isolated_since: AtomicU64::new(u64::MAX),
             confirmed: AtomicU64::new(0),
             first_start: AtomicBool::new(false),
-            settings,
-        }
-    }
             introduced: AtomicBool::new(false),
             scanned: AtomicBool::new(false),
             current: AtomicBool::new(false),
             has_document: AtomicU64::new(u64::MAX),
+            settings,
+        }
+    }
 
     /// Puts a document in force. Lower versions are ignored, so that none ever comes back.
     pub fn install(&self, policy: Policy) -> bool {
--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -34,7 +34,7 @@
         line,
         key: String::new(),
         problem: error.message().trim().replace('\n', " "),
-        remedy: "correct that line; docs/OPERATING.md lists every key".to_owned(),
+        remedy: "correct that line; docs/OPERATIONS.md lists every key".to_owned(),
     }
 }
 
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Document`] is the TOML as written. [`Document::parse`] checks all of it before any of it is used,
 //! and every mistake names its line, key and remedy. [`Policy`] is the same document compiled for the
-//! path of a request. docs/OPERATING.md, "The document", describes every key.
+//! path of a request. docs/OPERATIONS.md, "The document", describes every key.
 
 mod check;
 mod explain;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -281,8 +281,15 @@
     reason: &Reason,
     span: Duration,
 ) {
+    // What may have run is written each time; refusals that repeat are sampled.
+    let weight = match outcome {
+        Outcome::NotRun => board.refusal_lines.weigh(reason.code(), board.clock.now()),
+        Outcome::Ran | Outcome::Unknown => Some(1),
+    };
+    let Some(weight) = weight else { return };
     tracing::info!(
         event = "refused",
+        weight,
         vm = board.settings.vm,
         request = %visit.id,
         route = labels.route,
--- a/src/key.rs
+++ b/src/key.rs
@@ -1,7 +1,7 @@
 //! Customers' keys as digests, and the fleet key that authenticates daemons to each other.
 //!
 //! A customer's key is digested at entry and then dropped: no log, metric, envelope or backend server
-//! sees it. docs/OPERATING.md, "Keys", tells how a key is granted and withdrawn.
+//! sees it. docs/OPERATIONS.md, "Keys", tells how a key is granted and withdrawn.
 
 use std::fmt;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //! take the time and their random numbers as arguments and do no I/O. The modules around them carry what
 //! they decide. [`Board`] is where controllers and requests meet.
 //!
-//! docs/DESIGN.md records what was weighed; docs/OPERATING.md is for operators.
+//! docs/DESIGN.md records what was weighed; docs/OPERATIONS.md is for operators.
 
 pub mod admission;
 pub mod announcement;
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -2,7 +2,7 @@
 //!
 //! One enum feeds the answer's headers, the log line, the metric label and `gypsumtack why`, so that
 //! staff read the same words everywhere. Every kind carries the numbers that decided it, and its
-//! message names the remedy. See docs/OPERATING.md, "Reasons".
+//! message names the remedy. See docs/OPERATIONS.md, "Reasons".
 
 use std::fmt;
 use std::time::Duration;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of one daemon: its addresses, its failure domain and its secrets.
 //!
 //! Everything that staff decide together stands in the [document](crate::Document); the settings hold
-//! only what differs between VMs. docs/OPERATING.md, "Settings", describes every key.
+//! only what differs between VMs. docs/OPERATIONS.md, "Settings", describes every key.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -207,6 +207,6 @@
         line,
         key: String::new(),
         problem: error.message().trim().replace('\n', " "),
-        remedy: "correct that line; docs/OPERATING.md, \"Settings\", lists every key".to_owned(),
+        remedy: "correct that line; docs/OPERATIONS.md, \"Settings\", lists every key".to_owned(),
     }
 }
