Read the store when another daemon does not send a document in time

A fetch from such a VM could take 2 s, and whoever waits for it hears of nothing else.

Change: a fetch has 0.5 s; then the store is read, and the version counts as unheard, so that the next word of it is followed.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -33,6 +33,10 @@
 /// How often a daemon that relies on others looks whether it still may.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
 
+/// How long another daemon has to send a document before the store is read instead. The largest documents
+/// take a tenth of that; a daemon that froze after it told of a version held its hearers for seconds.
+const FETCH_TIME: Duration = Duration::from_millis(500);
+
 /// Pause before the feed is tried again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -150,10 +154,15 @@
         if version <= shared.board.policy.load().version {
             continue;
         }
-        match shared.links.document(shared, control).await {
-            Some(text) => install(shared, text),
-            // Whoever tells of it next is asked again.
-            None => shared.board.forget_newer(&shared.board.newer_document, version),
+        let fetch = tokio::time::timeout(FETCH_TIME, shared.links.document(shared, control));
+        if let Ok(Some(text)) = fetch.await {
+            install(shared, text);
+            continue;
+        }
+        // The store has it too; and whoever tells of it next is asked again.
+        shared.board.forget_newer(&shared.board.newer_document, version);
+        if let Err(error) = step(shared, &mut None).await {
+            note_failure(shared, &error);
         }
     }
 }
