Read the settings again instead of ending on a hangup signal

Ruled out: ignoring the signal (a changed address would need a restart). Other keys are not taken while running.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,9 +1,10 @@
 //! The daemon that stands beside one backend server.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use bpaf::Bpaf;
-use gypsumtack::{Daemon, Settings, log};
+use gypsumtack::{Daemon, Settings, log, reload};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for settings that are wrong or addresses that cannot be bound.
@@ -40,19 +41,23 @@
         Ok(runtime) => runtime,
         Err(error) => return fail(&error),
     };
-    runtime.block_on(run(settings))
+    runtime.block_on(run(settings, options.settings))
 }
 
-async fn run(settings: Settings) -> ExitCode {
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+async fn run(settings: Settings, path: String) -> ExitCode {
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(hangup)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    ) else {
         return fail(&"signals cannot be watched; start the daemon as an ordinary process");
     };
     let daemon = match Daemon::start(settings).await {
         Ok(daemon) => daemon,
         Err(error) => return fail(&error),
     };
+    let read = move || Settings::read(&path);
+    tokio::spawn(reload::follow(Arc::clone(daemon.shared()), read, hangup));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -44,3 +44,25 @@
     assert!(rest.iter().any(|line| line.contains("event=leaving")), "{rest:?}");
     assert!(rest.iter().any(|line| line.contains("event=stopped")), "{rest:?}");
 }
+
+/// A hangup means that the settings are to be read again; one that cannot be read changes nothing.
+#[test]
+fn sighup_reads_the_settings_again_and_ends_nothing() {
+    use std::io::{BufRead, BufReader};
+    let path = file("hangup.toml", SETTINGS);
+    let mut child = daemon().arg(&path).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let signal = |name: &str| {
+        let kill = Command::new("kill").arg(name).arg(child.id().to_string()).status().unwrap();
+        assert!(kill.success());
+    };
+    assert!(lines.next().unwrap().contains("event=started"));
+    std::fs::write(&path, SETTINGS.replace("0123456789abcdef", "short")).unwrap();
+    signal("-HUP");
+    assert!(lines.any(|line| line.contains("event=settings-rejected")), "it says what is wrong");
+    std::fs::write(&path, SETTINGS.replace("127.0.0.1:9", "127.0.0.1:10")).unwrap();
+    signal("-HUP");
+    assert!(lines.any(|line| line.contains("event=settings-taken")), "the new address is taken");
+    signal("-TERM");
+    assert!(child.wait().unwrap().success());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod publish;
 pub mod quarantine;
 pub mod reason;
+pub mod reload;
 pub mod retry;
 pub mod room;
 pub mod roster;
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,10 +7,11 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{Method, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
@@ -204,7 +205,7 @@
 /// The client of one daemon or of the command line.
 #[derive(Debug)]
 pub struct Client {
-    address: SocketAddr,
+    address: ArcSwap<SocketAddr>,
     timeout: Duration,
     wire: Wire,
     clock: Clock,
@@ -225,7 +226,7 @@
             .pool_idle_timeout(IDLE_TIME)
             .build(connector);
         Self {
-            address: settings.address,
+            address: ArcSwap::from_pointee(settings.address),
             timeout,
             wire,
             clock,
@@ -235,6 +236,11 @@
         }
     }
 
+    /// Sends what comes to another address from now on.
+    pub fn set_address(&self, address: SocketAddr) {
+        self.address.store(Arc::new(address));
+    }
+
     /// When the store last answered anything.
     pub fn answered(&self) -> Time {
         Time::from_micros(self.answered.load(Ordering::Relaxed))
@@ -360,7 +366,7 @@
 
     async fn send(&self, call: &Call<'_>) -> Result<Reply, StoreError> {
         let Request { method, target, body } = (self.wire.encode)(call)?;
-        let uri = Uri::builder().scheme("http").authority(self.address.to_string());
+        let uri = Uri::builder().scheme("http").authority(self.address.load().to_string());
         let uri = uri.path_and_query(target).build();
         let uri = uri.map_err(|error| StoreError::Refused(error.to_string()))?;
         let request = http::Request::builder()
