Read clocks in one module, and write shared logic once

The accept loop stood in both listeners, five questions to other daemons had the same frame, the reasons of a daemon's own refusals stood in two lists, pacing by compare-and-swap in two places, and the fakes' route template in two deployments. A request took a lock to learn that its backend server is well.

Change: Clock also measures and sleeps, and is the only reader of clocks outside src/time.rs; the stand-ins share the one in Seen. server::accept, Links::within, Reason::is_turned_away, time::Pace and one route() serve all. Shedding is two atomics, and a request that finds nothing wrong writes nothing.

Ruled out: one builder for the tests' repeated shapes and the constants' lists, which only look alike.

No bound was touched.

--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
@@ -85,10 +85,10 @@
 }
 
 async fn call(caller: &Caller, address: SocketAddr) -> Duration {
-    let start = Instant::now();
+    let clock = Clock::start();
     let answer = caller.ask(address, Question::get("/s/1").key("bench-key")).await;
     assert!(answer.is_ok_and(|answer| answer.status.is_success()), "a call failed");
-    start.elapsed()
+    clock.elapsed()
 }
 
 async fn daemon(vm: &str, platform: SocketAddr) -> Daemon {
--- a/benches/listener.rs
+++ b/benches/listener.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gypsumtack::dialect::Dialect;
 use gypsumtack::envelope::RequestId;
@@ -12,6 +12,7 @@
 use gypsumtack::pipeline;
 use gypsumtack::reason::Reason;
 use gypsumtack::server::{self, Bounds};
+use gypsumtack::time::Clock;
 use gypsumtack_standin::caller::{Caller, Question};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -72,14 +73,14 @@
 /// How long pipelined requests take together, each of which works for [`WORK`].
 async fn pipelined(address: SocketAddr) -> Duration {
     let mut stream = TcpStream::connect(address).await.expect("it listens");
-    let start = Instant::now();
+    let clock = Clock::start();
     let requests = "GET / HTTP/1.1\r\nhost: x\r\n\r\n".repeat(PIPELINED);
     stream.write_all(requests.as_bytes()).await.expect("it reads");
     let mut answers = Vec::new();
     while answers.windows(9).filter(|nine| nine == b"HTTP/1.1 ").count() < PIPELINED {
         stream.read_buf(&mut answers).await.expect("it answers");
     }
-    start.elapsed()
+    clock.elapsed()
 }
 
 async fn start_own(ended: Arc<AtomicU32>, stop: watch::Receiver<bool>) -> SocketAddr {
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -4,7 +4,6 @@
 //! `cargo run --release --example capacity`
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use gypsumtack::codec;
 use gypsumtack::document::{Document, Policy};
@@ -13,7 +12,7 @@
 use gypsumtack::member::{Record, State, View};
 use gypsumtack::peer::{Beat, Loan};
 use gypsumtack::roster::{Members, Roster};
-use gypsumtack::time::Time;
+use gypsumtack::time::{Clock, Time};
 
 /// Sizes of the fleet that are measured, and the size that is aimed at.
 const SIZES: [usize; 5] = [10, 50, 100, 200, 400];
@@ -93,11 +92,11 @@
 
 /// Microseconds of one call.
 fn time(mut act: impl FnMut()) -> f64 {
-    let start = Instant::now();
+    let clock = Clock::start();
     for _ in 0..ROUNDS {
         act();
     }
-    start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+    clock.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
 }
 
 fn record(at: usize) -> Record {
--- a/examples/policy/deployment.rs
+++ b/examples/policy/deployment.rs
@@ -64,24 +64,34 @@
     ServiceSpec { name, slots, instances, crowded: 1.0 }
 }
 
+/// A route that calls nothing, has no callers of its own and may run twice.
+fn route(
+    name: &'static str,
+    service: usize,
+    work_ms: f64,
+    spread: f64,
+    (objective_ms, deadline_ms): (u64, u64),
+    importance: Importance,
+) -> RouteSpec {
+    RouteSpec {
+        name,
+        service,
+        work_ms,
+        spread,
+        objective_ms,
+        deadline_ms,
+        importance,
+        idempotent: true,
+        rate: 0.0,
+        worth: (0.0, 0.0),
+        calls: None,
+    }
+}
+
 /// The snagging register: lists, sign-off, dossiers, inspection.
 pub fn casablanca() -> Deployment {
     use Importance::{Critical, High, Normal};
     let call = |route, times, together| Some(Calls { route, times, together });
-    let route =
-        |name, service, work_ms, spread, (objective_ms, deadline_ms), importance| RouteSpec {
-            name,
-            service,
-            work_ms,
-            spread,
-            objective_ms,
-            deadline_ms,
-            importance,
-            idempotent: true,
-            rate: 0.0,
-            worth: (0.0, 0.0),
-            calls: None,
-        };
     Deployment {
         name: "casablanca",
         services: vec![
@@ -134,20 +144,6 @@
 pub fn ulaanbaatar() -> Deployment {
     use Importance::{Critical, High, Normal};
     let call = |route, times| Some(Calls { route, times, together: false });
-    let route =
-        |name, service, work_ms, spread, (objective_ms, deadline_ms), importance| RouteSpec {
-            name,
-            service,
-            work_ms,
-            spread,
-            objective_ms,
-            deadline_ms,
-            importance,
-            idempotent: true,
-            rate: 0.0,
-            worth: (0.0, 0.0),
-            calls: None,
-        };
     Deployment {
         name: "ulaanbaatar",
         services: vec![
--- a/src/beside.rs
+++ b/src/beside.rs
@@ -6,6 +6,7 @@
 
 use crate::board::Board;
 use crate::envelope::Reach;
+use crate::log::PACE;
 use crate::quarantine::{Fingerprint, Quarantine, Standing};
 use crate::reason::Reason;
 use crate::room::{Capacity, Verdict};
@@ -18,13 +19,13 @@
 impl Board {
     /// Whether a request may be tried at the local backend server, or that refuses everything.
     pub fn may_try(&self) -> bool {
-        lock(&self.shedding).admit(self.clock.now())
+        self.shedding.admit(self.clock.now())
     }
 
     /// Notes whether the local backend server refused a request, and tells the others when that changes
     /// what is known of it.
     pub fn note_taken(&self, refused: bool) {
-        if lock(&self.shedding).note(refused, self.clock.now()) {
+        if self.shedding.note(refused, self.clock.now()) {
             tracing::warn!(
                 event = "backend-sheds-everything",
                 vm = self.settings.vm,
@@ -46,7 +47,7 @@
         let (wait, turned_away) = self.gate.pressure();
         let capacity = Capacity { slots: f64::from(slots) * FILLED, wait, turned_away };
         let verdict = lock(&self.room).ask(vm, work, capacity, now);
-        if verdict.level > 0.0 && self.room_line.is_due(now) {
+        if verdict.level > 0.0 && self.room_line.is_due(now, PACE) {
             tracing::info!(
                 event = "service-overloaded",
                 vm = self.settings.vm,
--- a/src/board.rs
+++ b/src/board.rs
@@ -19,7 +19,7 @@
 use crate::instance::Instances;
 use crate::journal::Journal;
 use crate::live::LiveTable;
-use crate::log::{Paced, Sampler};
+use crate::log::Sampler;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
@@ -29,7 +29,7 @@
 use crate::shedding::Shedding;
 use crate::sync::lock;
 use crate::tables::Tables;
-use crate::time::{Clock, Time};
+use crate::time::{Clock, Pace, Time};
 
 /// The longest that a daemon that has just started waits to hear which document is in force. Another one
 /// answers within a round of heartbeats, or cannot be reached.
@@ -79,8 +79,8 @@
     /// What is known of services beyond this daemon. Answers and the admission controller write it.
     pub feedback: Feedback,
     pub(crate) room: Mutex<Room>,
-    pub(crate) shedding: Mutex<Shedding>,
-    pub(crate) room_line: Paced,
+    pub(crate) shedding: Shedding,
+    pub(crate) room_line: Pace,
     /// Bounds the lines about refusals.
     pub refusal_lines: Sampler,
     /// Told whenever there is something that other daemons should hear at once.
@@ -133,8 +133,8 @@
             roster: ArcSwap::default(),
             feedback: Feedback::default(),
             room: Mutex::default(),
-            shedding: Mutex::default(),
-            room_line: Paced::default(),
+            shedding: Shedding::default(),
+            room_line: Pace::default(),
             refusal_lines: Sampler::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
@@ -432,7 +432,7 @@
             domain: self.settings.failure_domain.clone(),
             service: backend.as_ref().map(|b| b.service.clone()).unwrap_or_default(),
             slots: backend.as_ref().map_or(0, |b| b.slots),
-            sheds: lock(&self.shedding).is_shedding(),
+            sheds: self.shedding.is_shedding(),
             epoch: self.roster.load().epoch,
             peers: self.settings.listen.peers,
             control: self.settings.listen.control,
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -122,18 +122,7 @@
 /// Whether the daemon beside the instance refused the request, so that no backend server saw it. To ask
 /// another one is to place the request, not to repeat it.
 fn is_turned_away(answer: &Answer) -> bool {
-    let own = matches!(
-        answer.report.reason,
-        Some(
-            Reason::QueueDelay { .. }
-                | Reason::Displaced { .. }
-                | Reason::NotReady
-                | Reason::Leaving
-                | Reason::ServiceBound { .. }
-                | Reason::Shedding
-                | Reason::TooManyConnections { .. }
-        )
-    );
+    let own = answer.report.reason.as_ref().is_some_and(Reason::is_turned_away);
     own && answer.report.outcome == Outcome::NotRun
 }
 
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -12,7 +12,7 @@
 use crate::router::Candidate;
 use crate::shedding::TRY_PERIOD;
 use crate::sync::lock;
-use crate::time::Time;
+use crate::time::{Pace, Time};
 
 /// How long an instance gets no work after a connection to it failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
@@ -52,7 +52,7 @@
     failed_until: AtomicU64,
     shed_until: AtomicU64,
     sheds: AtomicBool,
-    next_try: AtomicU64,
+    tries: Pace,
 }
 
 impl Instance {
@@ -72,7 +72,7 @@
             failed_until: AtomicU64::new(0),
             shed_until: AtomicU64::new(0),
             sheds: AtomicBool::new(record.sheds),
-            next_try: AtomicU64::new(0),
+            tries: Pace::default(),
         }
     }
 
@@ -114,10 +114,7 @@
         if !self.sheds.load(Ordering::Relaxed) || self.is_failing(now) {
             return false;
         }
-        let (now, next) = (now.as_micros(), self.next_try.load(Ordering::Relaxed));
-        let after = now + TRY_PERIOD.as_micros() as u64;
-        let (set, get) = (Ordering::Relaxed, Ordering::Relaxed);
-        now >= next && self.next_try.compare_exchange(next, after, set, get).is_ok()
+        self.tries.is_due(now, TRY_PERIOD)
     }
 
     /// The instance as a candidate, or `None` while connections to it fail or its backend server refuses
--- a/src/log.rs
+++ b/src/log.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tracing_subscriber::EnvFilter;
@@ -26,23 +25,7 @@
 }
 
 /// How often a state that lasts is written again.
-const PACE: Duration = Duration::from_secs(1);
-
-/// Lets a line about a state that lasts through once in a while.
-#[derive(Debug, Default)]
-pub struct Paced {
-    next: AtomicU64,
-}
-
-impl Paced {
-    /// Whether the line is to be written now. Of several that ask at once, one is told so.
-    pub fn is_due(&self, now: Time) -> bool {
-        let (now, next) = (now.as_micros(), self.next.load(Ordering::Relaxed));
-        let after = now + PACE.as_micros() as u64;
-        now >= next
-            && self.next.compare_exchange(next, after, Ordering::Relaxed, Ordering::Relaxed).is_ok()
-    }
-}
+pub const PACE: Duration = Duration::from_secs(1);
 
 /// Lines about refusals of one reason that are written in a second; the others are counted. At some 400
 /// bytes a line this bounds a reason to 10 KB a second, whatever the load.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -195,13 +195,9 @@
     /// Exchanges heartbeats with one member. Returns whether it answered.
     pub async fn beat(&self, shared: &Shared, partner: &Record) -> bool {
         let beat = beat_of(shared);
-        let address = partner.control;
-        let exchange = async {
-            let link = self.link(shared, address).await?;
-            let answer = link.client.beat(context_of(HEARTBEAT_TIME), beat);
-            self.call(shared, address, &link, answer).await
-        };
-        let Some(reply) = within(HEARTBEAT_TIME, exchange).await else { return false };
+        let ask = async |peer: &PeerClient, context| peer.beat(context, beat).await;
+        let reply = self.within(HEARTBEAT_TIME, shared, partner.control, ask).await;
+        let Some(reply) = reply else { return false };
         take_beat(shared, reply);
         true
     }
@@ -211,12 +207,9 @@
     /// A loan that comes late is dropped; the lender stops counting it a while after that.
     pub async fn borrow(&self, shared: &Shared, address: SocketAddr, customer: &str) -> bool {
         let sent = shared.board.clock.now();
-        let ask = Ask { customer: customer.to_owned() };
-        let exchange = async {
-            let link = self.link(shared, address).await?;
-            self.call(shared, address, &link, link.client.borrow(context_of(LOAN_USE), ask)).await
-        };
-        let loan = within(LOAN_USE, exchange).await;
+        let question = Ask { customer: customer.to_owned() };
+        let ask = async |peer: &PeerClient, context| peer.borrow(context, question).await;
+        let loan = self.within(LOAN_USE, shared, address, ask).await;
         let in_time = shared.board.clock.now().since(sent) <= LOAN_USE;
         loan.is_some_and(|loan| loan.granted) && in_time
     }
@@ -225,34 +218,38 @@
     /// a second, and asks how much of it to refuse.
     pub async fn room(&self, shared: &Shared, address: SocketAddr, work: f64) -> Option<Verdict> {
         let vm = shared.board.settings.vm.clone();
-        let exchange = async {
-            let link = self.link(shared, address).await?;
-            self.call(shared, address, &link, link.client.room(context_of(ROOM_TIME), vm, work))
-                .await
-        };
-        within(ROOM_TIME, exchange).await
+        let ask = async |peer: &PeerClient, context| peer.room(context, vm, work).await;
+        self.within(ROOM_TIME, shared, address, ask).await
     }
 
     /// Fetches the document of the daemon at `address`, if it is newer than the one in force here.
     pub async fn document(&self, shared: &Shared, address: SocketAddr) -> Option<Text> {
         let than = shared.board.policy.load().version;
-        let exchange = async {
-            let link = self.link(shared, address).await?;
-            let answer = link.client.document(context_of(DOCUMENT_TIME), than);
-            self.call(shared, address, &link, answer).await
-        };
-        within(DOCUMENT_TIME, exchange).await.flatten()
+        let ask = async |peer: &PeerClient, context| peer.document(context, than).await;
+        self.within(DOCUMENT_TIME, shared, address, ask).await.flatten()
     }
 
     /// Fetches the roster of the daemon at `address`, if it is newer than the own one.
     pub async fn roster(&self, shared: &Shared, address: SocketAddr) -> Option<Roster> {
         let than = shared.board.roster.load().version;
+        let ask = async |peer: &PeerClient, context| peer.roster(context, than).await;
+        self.within(DOCUMENT_TIME, shared, address, ask).await.flatten()
+    }
+
+    /// Asks the daemon at `address`; `None` when it does not answer within `time`.
+    async fn within<T>(
+        &self,
+        time: Duration,
+        shared: &Shared,
+        address: SocketAddr,
+        ask: impl AsyncFnOnce(&PeerClient, context::Context) -> Result<T, client::RpcError>,
+    ) -> Option<T> {
         let exchange = async {
             let link = self.link(shared, address).await?;
-            let answer = link.client.roster(context_of(DOCUMENT_TIME), than);
+            let answer = ask(&link.client, context_of(time));
             self.call(shared, address, &link, answer).await
         };
-        within(DOCUMENT_TIME, exchange).await.flatten()
+        tokio::time::timeout(time, exchange).await.ok()?.ok()
     }
 
     async fn call<T>(
@@ -320,13 +317,6 @@
     shared.links.drop_link(address, &link);
 }
 
-async fn within<T>(
-    time: Duration,
-    exchange: impl Future<Output = Result<T, Failure>>,
-) -> Option<T> {
-    tokio::time::timeout(time, exchange).await.ok()?.ok()
-}
-
 fn context_of(time: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Clock::instant_after(time);
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -17,7 +17,6 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::chunked::{Chunked, Problem};
@@ -26,7 +25,8 @@
 use crate::head::{Framing, Head, Malformed};
 use crate::message::{Answer, Message, Response};
 use crate::reason::Reason;
-use crate::server::{ACCEPT_PAUSE, Bounds, REFUSAL_TIME};
+use crate::server::{Bounds, REFUSAL_TIME, accept};
+use crate::time::{Clock, Time};
 
 /// Requests of one connection that are served side by side. Those behind wait to be read.
 const DEPTH: usize = 32;
@@ -61,16 +61,7 @@
     let dialect = Arc::new(dialect);
     let most = bounds().connections;
     let slots = Arc::new(Semaphore::new(most));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
+    while let Some(stream) = accept(&listener, &mut stop).await {
         let (stop, dialect) = (stop.clone(), Arc::clone(&dialect));
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             let limit = most as u64;
@@ -99,6 +90,7 @@
 
 /// One caller's connection.
 struct Connection<H, B> {
+    clock: Clock,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
     input: BytesMut,
@@ -154,6 +146,7 @@
     fn new(stream: TcpStream, bounds: B, dialect: Arc<Dialect>, handler: H) -> Self {
         let (reader, writer) = stream.into_split();
         Self {
+            clock: Clock::start(),
             reader,
             writer,
             input: BytesMut::new(),
@@ -171,7 +164,7 @@
     /// Serves until one side ends the connection. Dropping the queue cancels what is still running.
     async fn run(mut self, mut stop: watch::Receiver<bool>) {
         let mut stopping = false;
-        let mut since = Instant::now();
+        let mut since = self.clock.now();
         loop {
             self.read_requests();
             let idle = self.queue.is_empty() && self.output.is_empty();
@@ -183,11 +176,11 @@
             let event = self.step(&mut stop, reads, stopping, since).await;
             match event {
                 Event::Read(Ok(0) | Err(_)) | Event::Written(Err(_)) | Event::Late => return,
-                Event::Read(Ok(_)) if fresh => since = Instant::now(),
+                Event::Read(Ok(_)) if fresh => since = self.clock.now(),
                 Event::Read(Ok(_)) => {}
-                Event::Written(Ok(_)) => since = Instant::now(),
+                Event::Written(Ok(_)) => since = self.clock.now(),
                 Event::Answered(answer) => {
-                    since = Instant::now();
+                    since = self.clock.now();
                     self.write_answer(answer, stopping);
                 }
                 Event::Stopped => stopping = true,
@@ -201,7 +194,7 @@
         stop: &mut watch::Receiver<bool>,
         reads: bool,
         stopping: bool,
-        since: Instant,
+        since: Time,
     ) -> Event {
         let bounds = (self.bounds)();
         let waits = match (self.output.is_empty(), self.input.is_empty(), self.queue.is_empty()) {
@@ -218,9 +211,10 @@
                 None => None,
             }
         };
+        let clock = self.clock;
         let late = async {
             match waits {
-                Some(span) => tokio::time::sleep_until(since + span).await,
+                Some(span) => clock.sleep_until(since + span).await,
                 None => std::future::pending().await,
             }
         };
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -255,18 +255,23 @@
 
     /// Whether the same request could succeed on another instance at once.
     pub const fn is_local(&self) -> bool {
+        self.is_turned_away()
+            || matches!(
+                self,
+                Self::Shed { .. } | Self::BadAnswer { .. } | Self::Crashed | Self::SuspectRuns
+            )
+    }
+
+    /// Whether the daemon beside an instance refused, before its backend server could see the request.
+    pub const fn is_turned_away(&self) -> bool {
         matches!(
             self,
             Self::QueueDelay { .. }
                 | Self::Displaced { .. }
                 | Self::NotReady
                 | Self::Leaving
-                | Self::Shed { .. }
-                | Self::Shedding
-                | Self::BadAnswer { .. }
                 | Self::ServiceBound { .. }
-                | Self::Crashed
-                | Self::SuspectRuns
+                | Self::Shedding
                 | Self::TooManyConnections { .. }
         )
     }
--- a/src/server.rs
+++ b/src/server.rs
@@ -32,7 +32,7 @@
 const LEAST_BUFFER: usize = 8 << 10;
 
 /// How long the listener rests after the system refused it a connection.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Bounds of one listener.
 #[derive(Debug, Clone, Copy)]
@@ -62,6 +62,24 @@
     }
 }
 
+/// Waits for the next connection; `None` once `stop` turns true.
+pub(crate) async fn accept(
+    listener: &TcpListener,
+    stop: &mut watch::Receiver<bool>,
+) -> Option<TcpStream> {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return None,
+        };
+        if let Ok((stream, _)) = accepted {
+            let _ = stream.set_nodelay(true);
+            return Some(stream);
+        }
+        tokio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
 /// Serves `listener` until `stop` turns true, then finishes the requests in flight and returns.
 ///
 /// Requests that break the bounds are refused in the words of `dialect`.
@@ -78,16 +96,7 @@
     let graceful = GracefulShutdown::new();
     let dialect = Arc::new(dialect);
     let slots = Arc::new(Semaphore::new(bounds.connections));
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
+    while let Some(stream) = accept(&listener, &mut stop).await {
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             tokio::spawn(refuse(stream, bounds, Arc::clone(&dialect)));
             continue;
--- a/src/shedding.rs
+++ b/src/shedding.rs
@@ -5,9 +5,10 @@
 //! that are kept away cost their callers nothing but the way to another instance. docs/DESIGN.md,
 //! "Routing", names the load.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use crate::time::Time;
+use crate::time::{Pace, Time};
 
 /// Refusals in a row that tell a backend server that refuses everything from one that refuses a part. One
 /// that refuses half gets there once in 65,000 requests.
@@ -19,36 +20,32 @@
 /// What the last answers of the local backend server tell.
 #[derive(Debug, Default)]
 pub struct Shedding {
-    row: u32,
-    next_try: Time,
+    row: AtomicU32,
+    tries: Pace,
 }
 
 impl Shedding {
     /// Whether it refuses everything.
     pub fn is_shedding(&self) -> bool {
-        self.row >= ROW
+        self.row.load(Ordering::Relaxed) >= ROW
     }
 
     /// Whether a request may go to the backend server now.
-    pub fn admit(&mut self, now: Time) -> bool {
-        if !self.is_shedding() {
-            return true;
-        }
-        if now < self.next_try {
-            return false;
-        }
-        self.next_try = now + TRY_PERIOD;
-        true
+    pub fn admit(&self, now: Time) -> bool {
+        !self.is_shedding() || self.tries.is_due(now, TRY_PERIOD)
     }
 
     /// Notes how the backend server took a request. Returns whether that changed what is known of it.
-    pub fn note(&mut self, refused: bool, now: Time) -> bool {
-        let before = self.is_shedding();
-        self.row = if refused { self.row.saturating_add(1) } else { 0 };
-        let changed = before != self.is_shedding();
-        if changed {
-            self.next_try = now + TRY_PERIOD;
+    pub fn note(&self, refused: bool, now: Time) -> bool {
+        if refused {
+            let row = self.row.fetch_add(1, Ordering::Relaxed);
+            let changed = row + 1 == ROW;
+            if changed {
+                self.tries.rest(now, TRY_PERIOD);
+            }
+            return changed;
         }
-        changed
+        // Most of the time there is nothing to forget, and nothing is written.
+        self.row.load(Ordering::Relaxed) > 0 && self.row.swap(0, Ordering::Relaxed) >= ROW
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -5,6 +5,7 @@
 //! in [docs/DESIGN.md](https://github.com/gypsumtack/gypsumtack/blob/main/docs/DESIGN.md).
 
 use std::ops::{Add, Sub};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rand::Rng;
@@ -74,7 +75,17 @@
 
     /// Reads the clock.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        Time::ZERO + self.elapsed()
+    }
+
+    /// How long the clock has run, with all the precision that there is, for measurements.
+    pub fn elapsed(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Sleeps until the clock reads `time`.
+    pub async fn sleep_until(&self, time: Time) {
+        tokio::time::sleep(time.since(self.now())).await;
     }
 
     /// The moment `span` from now in the form that libraries take for a deadline.
@@ -83,6 +94,33 @@
     }
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Self::start()
+    }
+}
+
+/// Lets something happen once in a while.
+#[derive(Debug, Default)]
+pub struct Pace {
+    next: AtomicU64,
+}
+
+impl Pace {
+    /// Whether it may happen now, `period` after it last did. Of several that ask at once, one is told so.
+    pub fn is_due(&self, now: Time, period: Duration) -> bool {
+        let next = self.next.load(Ordering::Relaxed);
+        let after = (now + period).as_micros();
+        now.as_micros() >= next
+            && self.next.compare_exchange(next, after, Ordering::Relaxed, Ordering::Relaxed).is_ok()
+    }
+
+    /// Starts a period now, so that the next time is at its end.
+    pub fn rest(&self, now: Time, period: Duration) {
+        self.next.store((now + period).as_micros(), Ordering::Relaxed);
+    }
+}
+
 /// A time near `period`, so that daemons do not act in step.
 pub fn jitter(period: Duration) -> Duration {
     period.mul_f64(rand::rng().random_range(0.8..1.2))
--- a/standin/src/backend.rs
+++ b/standin/src/backend.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gypsumtack::announcement::BackendServer;
@@ -12,6 +12,7 @@
 use gypsumtack::message::{self, Response};
 use gypsumtack::server::{self, Bounds};
 use gypsumtack::sync::lock;
+use gypsumtack::time::{Clock, Time};
 use http::{HeaderMap, HeaderName, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -56,6 +57,8 @@
 /// What a backend server has seen, for checks.
 #[derive(Debug, Default)]
 pub struct Seen {
+    /// The one clock of all backend servers that share this.
+    pub clock: Clock,
     traces: Mutex<BTreeMap<String, Trace>>,
     /// Requests that began.
     pub begun: AtomicU64,
@@ -73,7 +76,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Trace {
     /// When an attempt began.
-    pub begun: Vec<Instant>,
+    pub begun: Vec<Time>,
     /// Attempts that came to the end of their service time.
     pub runs: u32,
     /// Calls on that were made for it.
@@ -106,10 +109,10 @@
     plan: Plan,
     egress: SocketAddr,
     caller: Caller,
-    started: Instant,
+    started: Time,
     service_ms: AtomicU64,
     in_flight: AtomicU32,
-    drained: Mutex<Option<Instant>>,
+    drained: Mutex<Option<Time>>,
     load: Mutex<Stale>,
     crash: watch::Sender<bool>,
     seen: Arc<Seen>,
@@ -118,7 +121,7 @@
 /// A load that is reported long after it was read.
 #[derive(Debug)]
 struct Stale {
-    read: Instant,
+    read: Time,
     load: u32,
 }
 
@@ -155,10 +158,10 @@
             plan,
             egress,
             caller: Caller::new(),
-            started: Instant::now(),
+            started: seen.clock.now(),
             in_flight: AtomicU32::new(0),
             drained: Mutex::new(None),
-            load: Mutex::new(Stale { read: Instant::now(), load: 0 }),
+            load: Mutex::new(Stale { read: seen.clock.now(), load: 0 }),
             crash: stop.clone(),
             seen,
         });
@@ -195,7 +198,7 @@
 
     /// Announces that it drains.
     pub fn drain(&self) {
-        *lock(&self.state.drained) = Some(Instant::now());
+        *lock(&self.state.drained) = Some(self.state.seen.clock.now());
     }
 
     /// Requests in flight now.
@@ -250,7 +253,8 @@
     }
     let mut run = Run::begin(&state);
     let operation = text_of(&parts.headers, &OPERATION);
-    state.seen.note(&operation, |trace| trace.begun.push(Instant::now()));
+    let begun = state.seen.clock.now();
+    state.seen.note(&operation, |trace| trace.begun.push(begun));
     let Ok(body) = message::collect(body, u64::MAX >> 1).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
@@ -296,8 +300,9 @@
 /// The load of a while ago, as such endpoints tell it.
 fn load(state: &State) -> Response {
     let mut stale = lock(&state.load);
-    if stale.read.elapsed() > LOAD_LAG {
-        *stale = Stale { read: Instant::now(), load: state.in_flight.load(Ordering::Relaxed) };
+    let now = state.seen.clock.now();
+    if now.since(stale.read) > LOAD_LAG {
+        *stale = Stale { read: now, load: state.in_flight.load(Ordering::Relaxed) };
     }
     respond(StatusCode::OK, stale.load.to_string().into())
 }
@@ -305,14 +310,15 @@
 impl State {
     fn service_time(&self) -> Duration {
         let time = Duration::from_millis(self.service_ms.load(Ordering::Relaxed));
-        let cold = self.started.elapsed() < Duration::from_millis(self.plan.cold_ms);
+        let age = self.seen.clock.now().since(self.started);
+        let cold = age < Duration::from_millis(self.plan.cold_ms);
         if cold { time * 3 } else { time }
     }
 
     /// Counts work that comes longer than the allowed few seconds after it began to drain.
     fn note_late(&self) {
         const GRACE: Duration = Duration::from_secs(4);
-        if lock(&self.drained).is_some_and(|since| since.elapsed() > GRACE) {
+        if lock(&self.drained).is_some_and(|since| self.seen.clock.now().since(since) > GRACE) {
             self.seen.late.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/standin/src/demo/mod.rs
+++ b/standin/src/demo/mod.rs
@@ -5,9 +5,10 @@
 mod system;
 mod traffic;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gypsumtack::Result;
+use gypsumtack::time::Clock;
 
 pub use self::report::{Promise, Report, Row};
 use self::system::System;
@@ -32,7 +33,7 @@
             eprintln!("demo: {text}");
         }
     };
-    let start = Instant::now();
+    let clock = Clock::start();
     say("starting a platform and three failure domains of two services");
     let mut system = System::start(seed).await?;
     let mut traffic = Traffic::new(&system, seed);
@@ -56,5 +57,5 @@
     let results = traffic.finish().await;
     let promises = promises::check(&results, &system, withdrawal);
     system.stop().await;
-    Ok(Report::new(seed, start.elapsed(), &results, promises))
+    Ok(Report::new(seed, clock.elapsed(), &results, promises))
 }
--- a/standin/src/demo/promises.rs
+++ b/standin/src/demo/promises.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use gypsumtack::time::Time;
 
 use super::report::Promise;
 use super::system::{System, Withdrawal};
@@ -86,7 +88,7 @@
     let mut broken = 0;
     for (customer, rate, burst) in CUSTOMERS {
         let mine = endings.iter().filter(|ending| ending.customer == customer);
-        let mut times: Vec<Instant> = mine
+        let mut times: Vec<Time> = mine
             .filter_map(|ending| seen.trace(&ending.operation).begun.first().copied())
             .collect();
         times.sort();
@@ -96,11 +98,11 @@
 }
 
 /// Whether any window holds more than `rate` times its length plus `burst`.
-fn exceeds(times: &[Instant], rate: f64, burst: f64) -> bool {
+fn exceeds(times: &[Time], rate: f64, burst: f64) -> bool {
     let mut level = 0.0_f64;
     let mut last = None;
     for time in times {
-        let gap = last.map_or(0.0, |last| time.duration_since(last).as_secs_f64());
+        let gap = last.map_or(0.0, |last| time.since(last).as_secs_f64());
         level = (level - rate * gap).max(0.0) + 1.0;
         if level > burst + 1.0 {
             return true;
--- a/standin/src/demo/system.rs
+++ b/standin/src/demo/system.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gypsumtack::envelope::Token;
 use gypsumtack::publish::{self, Edit, Scope};
 use gypsumtack::tables::CustomerShare;
-use gypsumtack::time::{Clock, unix_seconds};
+use gypsumtack::time::{Clock, Time, unix_seconds};
 use gypsumtack::{Board, Daemon, Digest, Error, Result, Settings, settings, store, wire};
 use tokio::task::JoinHandle;
 
@@ -84,7 +84,7 @@
 /// When the key was withdrawn, and when every VM had the document in force.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Withdrawal {
-    pub(super) accepted: Instant,
+    pub(super) accepted: Time,
     pub(super) everywhere: Option<Duration>,
 }
 
@@ -143,8 +143,9 @@
     }
 
     async fn wait_until_ready(&self) {
-        let end = Instant::now() + START_TIME;
-        while Instant::now() < end && !self.boards.iter().all(|board| is_ready(board)) {
+        let clock = self.seen.clock;
+        let end = clock.now() + START_TIME;
+        while clock.now() < end && !self.boards.iter().all(|board| is_ready(board)) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
@@ -153,11 +154,12 @@
     pub(super) async fn withdraw_key(&self) -> Result<Withdrawal> {
         let scope = Scope::Section { name: "customers".to_owned(), expect: 1 };
         let version = apply(self.platform.address(), scope, customers(false)).await?;
-        let accepted = Instant::now();
+        let clock = self.seen.clock;
+        let accepted = clock.now();
         let end = accepted + START_TIME;
-        while Instant::now() < end {
+        while clock.now() < end {
             if self.boards.iter().all(|board| board.policy.load().version >= version) {
-                return Ok(Withdrawal { accepted, everywhere: Some(accepted.elapsed()) });
+                return Ok(Withdrawal { accepted, everywhere: Some(clock.now().since(accepted)) });
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/standin/src/demo/traffic.rs
+++ b/standin/src/demo/traffic.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gypsumtack::message;
 use gypsumtack::sync::lock;
+use gypsumtack::time::{Clock, Time};
 use http::StatusCode;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -81,7 +82,7 @@
     pub(super) importance: &'static str,
     pub(super) operation: String,
     pub(super) once: bool,
-    pub(super) sent: Instant,
+    pub(super) sent: Time,
     pub(super) took: Duration,
     pub(super) kind: Kind,
 }
@@ -107,6 +108,7 @@
 pub(super) struct Traffic {
     entries: Vec<SocketAddr>,
     caller: Caller,
+    clock: Clock,
     rng: SmallRng,
     count: u64,
     endings: Arc<Mutex<Vec<Ending>>>,
@@ -118,6 +120,7 @@
         Self {
             entries: system.entries(),
             caller: Caller::new(),
+            clock: system.seen.clock,
             rng: SmallRng::seed_from_u64(seed),
             count: 0,
             endings: Arc::default(),
@@ -127,7 +130,8 @@
 
     /// Offers `load` times the base rates for `time`. Requests arrive whatever becomes of the others.
     pub(super) async fn phase(&mut self, phase: &'static str, load: f64, time: Duration) {
-        let start = Instant::now();
+        let clock = self.clock;
+        let start = clock.now();
         let mut next: Vec<(Duration, Stream)> =
             STREAMS.iter().map(|stream| (self.gap(stream, load), *stream)).collect();
         loop {
@@ -136,11 +140,11 @@
             if at >= time {
                 break;
             }
-            tokio::time::sleep_until((start + at).into()).await;
+            clock.sleep_until(start + at).await;
             self.send(phase, stream);
             next[0].0 = at + self.gap(&stream, load);
         }
-        tokio::time::sleep_until((start + time).into()).await;
+        clock.sleep_until(start + time).await;
     }
 
     /// Waits for the last answers.
@@ -162,8 +166,9 @@
         let others = self.entries.clone();
         let caller = self.caller.clone();
         let endings = Arc::clone(&self.endings);
+        let clock = self.clock;
         self.requests.spawn(async move {
-            let sent = Instant::now();
+            let sent = clock.now();
             let mut kind = ask(&caller, entry, &stream, &operation).await;
             // As clients do, go to another VM when one is not there any more.
             if kind == Kind::Unconnected
@@ -178,7 +183,7 @@
                 operation,
                 once: stream.once,
                 sent,
-                took: sent.elapsed(),
+                took: clock.now().since(sent),
                 kind,
             };
             lock(&endings).push(ending);
