Give every request its final answer when a planned stop ends

Callers pipeline and answers keep their order, so a ready answer waits behind a request that does not end; when the time of the stop was over the daemon ended with both owed.

Change: 0.3 s before the end of a stop each connection gives up what has not ended, with a final answer that says it may have run, and writes what was ready behind it. A request's name is drawn once and handed to its handler.

Ruled out: waiting longer (the platform ends the process); answering out of order (HTTP/1.1 does not have it).

--- a/benches/listener.rs
+++ b/benches/listener.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use gypsumtack::dialect::Dialect;
-use gypsumtack::envelope::RequestId;
 use gypsumtack::message::{Answer, Message, Response};
 use gypsumtack::pipeline;
 use gypsumtack::reason::Reason;
@@ -86,12 +85,12 @@
 async fn start_own(ended: Arc<AtomicU32>, stop: watch::Receiver<bool>) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
-    let handler = move |_: Message| {
+    let handler = move |name, _: Message| {
         let ended = Arc::clone(&ended);
         async move {
             tokio::time::sleep(WORK).await;
             ended.fetch_add(1, Ordering::Relaxed);
-            Answer::not_run(RequestId::random(&mut rand::rng()), Reason::NoDocument)
+            Answer::not_run(name, Reason::NoDocument)
         }
     };
     let bounds = || Bounds::inner(1_000);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,6 +37,9 @@
     watch::Receiver<bool>,
 ) -> std::io::Result<BoxFuture<'static, ()>>;
 
+/// What is left of a planned stop for final answers to requests that did not end in time.
+const LAST_WORDS: Duration = Duration::from_millis(300);
+
 /// How a daemon speaks to everything outside: callers, backend servers, the store and operators.
 ///
 /// The product brings its own; an adapter for a platform brings that platform's.
@@ -259,7 +262,7 @@
         let operators = Door { stop, task: tokio::spawn(serving) };
         let own = Arc::clone(shared);
         let callers = Door::open(|stop| {
-            let handler = move |request| entry::handle(Arc::clone(&own), request);
+            let handler = move |id, message| entry::handle(Arc::clone(&own), id, message);
             let asked = Arc::clone(shared);
             let bounds = move || bounds(&asked, asked.board.settings.limits.caller_connections);
             pipeline::serve(callers, bounds, shared.dialect.clone(), stop, handler)
@@ -287,6 +290,7 @@
         body_bytes: usize::try_from(request_bytes).unwrap_or(usize::MAX),
         header_time: limits.header_time(),
         idle_time: limits.idle_time(),
+        stop_time: Duration::from_millis(limits.stop_ms).saturating_sub(LAST_WORDS),
     }
 }
 
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -9,8 +9,9 @@
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
     TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
+use crate::envelope::RequestId;
 use crate::message;
 
 /// Which headers carry what. A header that is `None` does not exist in the dialect.
@@ -69,6 +70,12 @@
         }
     }
 
+    /// The name that the caller gave its request, or a new one.
+    pub fn name_of(&self, headers: &HeaderMap) -> RequestId {
+        let given = headers.get(&self.request).filter(|_| self.named);
+        given.and_then(RequestId::given).unwrap_or_else(|| RequestId::random(&mut rand::rng()))
+    }
+
     /// A time after which to come back, as a header's value.
     pub fn retry_after(&self, span: Duration) -> HeaderValue {
         if !self.fractions {
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -42,7 +42,8 @@
         Some(live) => with_token(&shared, &policy, route, &live, message).await,
         // Routes open to all need no live request; such a call enters like a caller's.
         None if route.is_some_and(|route| route.open) => {
-            crate::entry::handle(Arc::clone(&shared), message).await
+            let id = dialect.name_of(&message.headers);
+            crate::entry::handle(Arc::clone(&shared), id, message).await
         }
         None => {
             let request = RequestId::random(&mut rand::rng());
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,12 +32,11 @@
 /// How much of an unmatched path is repeated in its refusal, in characters.
 const PATH_SHOWN: usize = 100;
 
-/// Answers one request of a caller.
-pub async fn handle(shared: Arc<Shared>, mut message: Message) -> Answer {
+/// Answers one request of a caller, which is called `id`.
+pub async fn handle(shared: Arc<Shared>, id: RequestId, mut message: Message) -> Answer {
     let board = &shared.board;
     let _in_flight = InFlight::count(board);
     let start = board.clock.now();
-    let id = name_of(&shared.dialect, &message.headers);
     let policy = board.policy.load_full();
     let left = time_left(&shared.dialect, &message.headers);
     let deadline = left.map_or(Time::MAX, |left| start + left);
@@ -50,12 +49,6 @@
     answer
 }
 
-/// The name that the caller gave its request, or a new one.
-fn name_of(dialect: &Dialect, headers: &HeaderMap) -> RequestId {
-    let given = headers.get(&dialect.request).filter(|_| dialect.named);
-    given.and_then(RequestId::given).unwrap_or_else(|| RequestId::random(&mut rand::rng()))
-}
-
 /// How long the caller will wait, if it says so.
 fn time_left(dialect: &Dialect, headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(&dialect.deadline)?.to_str().ok()?;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -24,7 +24,7 @@
 use crate::envelope::RequestId;
 use crate::head::{Framing, Head, Malformed};
 use crate::message::{Answer, Message, Response};
-use crate::reason::Reason;
+use crate::reason::{Outcome, Reason};
 use crate::server::{Bounds, REFUSAL_TIME, accept};
 use crate::time::{Clock, Time};
 
@@ -54,7 +54,7 @@
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
-    H: Fn(Message) -> F + Clone + Send + Sync + 'static,
+    H: Fn(RequestId, Message) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds + Clone + Send + Sync + 'static,
 {
@@ -65,10 +65,9 @@
         let (stop, dialect) = (stop.clone(), Arc::clone(&dialect));
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             let limit = most as u64;
-            let refuse = move |message: Message| async move {
-                let id = RequestId::random(&mut rand::rng());
+            let refuse = move |name, message: Message| async move {
                 drop(message);
-                Answer::not_run(id, Reason::TooManyConnections { limit })
+                Answer::not_run(name, Reason::TooManyConnections { limit })
             };
             let mut connection = Connection::new(stream, bounds.clone(), dialect, refuse);
             connection.once = true;
@@ -123,6 +122,7 @@
 
 /// An answer that is owed.
 struct Pending {
+    name: RequestId,
     task: AbortOnDropHandle<Answer>,
     /// Answers to HEAD have no body.
     bodiless: bool,
@@ -134,12 +134,13 @@
     Written(std::io::Result<usize>),
     Answered(Option<Box<Answer>>),
     Stopped,
+    GivenUp,
     Late,
 }
 
 impl<H, F, B> Connection<H, B>
 where
-    H: Fn(Message) -> F,
+    H: Fn(RequestId, Message) -> F,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds,
 {
@@ -164,6 +165,7 @@
     /// Serves until one side ends the connection. Dropping the queue cancels what is still running.
     async fn run(mut self, mut stop: watch::Receiver<bool>) {
         let mut stopping = false;
+        let mut end = Time::MAX;
         let mut since = self.clock.now();
         loop {
             self.read_requests();
@@ -173,7 +175,7 @@
             }
             let reads = !self.last && !stopping && self.input.len() < READ_AHEAD;
             let fresh = idle && self.input.is_empty();
-            let event = self.step(&mut stop, reads, stopping, since).await;
+            let event = self.step(&mut stop, reads, stopping.then_some(end), since).await;
             match event {
                 Event::Read(Ok(0) | Err(_)) | Event::Written(Err(_)) | Event::Late => return,
                 Event::Read(Ok(_)) if fresh => since = self.clock.now(),
@@ -183,7 +185,14 @@
                     since = self.clock.now();
                     self.write_answer(answer, stopping);
                 }
-                Event::Stopped => stopping = true,
+                Event::Stopped => {
+                    stopping = true;
+                    end = self.clock.now() + (self.bounds)().stop_time;
+                }
+                Event::GivenUp => {
+                    end = Time::MAX;
+                    self.give_up();
+                }
             }
         }
         self.linger().await;
@@ -193,7 +202,7 @@
         &mut self,
         stop: &mut watch::Receiver<bool>,
         reads: bool,
-        stopping: bool,
+        end: Option<Time>,
         since: Time,
     ) -> Event {
         let bounds = (self.bounds)();
@@ -224,7 +233,8 @@
             written = self.writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                 Event::Written(written)
             }
-            _ = stop.wait_for(|stop| *stop), if !stopping => Event::Stopped,
+            _ = stop.wait_for(|stop| *stop), if end.is_none() => Event::Stopped,
+            () = clock.sleep_until(end.unwrap_or(Time::MAX)), if end.is_some() => Event::GivenUp,
             () = late => Event::Late,
         }
     }
@@ -324,15 +334,27 @@
 
     fn start(&mut self, message: Message) {
         let bodiless = message.method == Method::HEAD;
-        let task = AbortOnDropHandle::new(tokio::spawn((self.handler)(message)));
-        self.queue.push_back(Pending { task, bodiless });
+        let name = self.dialect.name_of(&message.headers);
+        let task = AbortOnDropHandle::new(tokio::spawn((self.handler)(name.clone(), message)));
+        self.queue.push_back(Pending { name, task, bodiless });
     }
 
     /// Refuses what cannot be read. Nothing behind it can be told from it, so the connection ends.
     fn refuse(&mut self, reason: Reason) {
-        let answer = Answer::not_run(RequestId::random(&mut rand::rng()), reason);
-        let task = AbortOnDropHandle::new(tokio::spawn(async move { answer }));
-        self.queue.push_back(Pending { task, bodiless: false });
+        let name = RequestId::random(&mut rand::rng());
+        let task = ready(Answer::not_run(name.clone(), reason));
+        self.queue.push_back(Pending { name, task, bodiless: false });
+        self.last = true;
+    }
+
+    /// Gives up what has not ended within the time of a stop. Each request gets its final answer, also those
+    /// whose answers were ready behind a request that was not.
+    fn give_up(&mut self) {
+        for pending in self.queue.iter_mut().filter(|pending| !pending.task.is_finished()) {
+            let name = pending.name.clone();
+            pending.task = ready(Answer::refusal(name, Outcome::Unknown, Reason::Leaving));
+        }
+        self.part = Part::Head;
         self.last = true;
     }
 
@@ -361,6 +383,11 @@
     }
 }
 
+/// An answer that nothing has to be done for.
+fn ready(answer: Answer) -> AbortOnDropHandle<Answer> {
+    AbortOnDropHandle::new(tokio::spawn(async move { answer }))
+}
+
 fn too_large(bounds: Bounds) -> Reason {
     let problem = format!("the body is larger than {} bytes", bounds.body_bytes);
     Reason::BadRequest { problem }
--- a/src/server.rs
+++ b/src/server.rs
@@ -47,6 +47,8 @@
     pub header_time: Duration,
     /// How long a connection may stay idle.
     pub idle_time: Duration,
+    /// How long requests may take to end after the listener was told to stop.
+    pub stop_time: Duration,
 }
 
 impl Bounds {
@@ -58,6 +60,7 @@
             body_bytes: 64 << 20,
             header_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(30),
+            stop_time: Duration::from_secs(30),
         }
     }
 }
--- /dev/null
+++ b/tests/pipeline.rs
@@ -0,0 +1,70 @@
+//! The listener for callers: order, stops, and requests that do not end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gypsumtack::dialect::Dialect;
+use gypsumtack::message::{Answer, Message};
+use gypsumtack::pipeline;
+use gypsumtack::reason::{Outcome, Reason};
+use gypsumtack::server::Bounds;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// A listener whose handler never ends for `/stuck`, and tells the path of any other request at once.
+async fn listener(stop_time: Duration) -> (SocketAddr, watch::Sender<bool>, JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = watch::channel(false);
+    let bounds = move || Bounds { stop_time, ..Bounds::inner(10) };
+    let handler = async |name, message: Message| {
+        if message.uri.path() == "/stuck" {
+            std::future::pending::<()>().await;
+        }
+        let problem = message.uri.path().to_owned();
+        Answer::refusal(name, Outcome::Ran, Reason::BadRequest { problem })
+    };
+    let task = tokio::spawn(pipeline::serve(listener, bounds, Dialect::own(), stopped, handler));
+    (address, stop, task)
+}
+
+async fn send(address: SocketAddr, paths: &[&str]) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = |path: &&str| format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+    let requests: String = paths.iter().map(request).collect();
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    stream
+}
+
+/// The statuses of the answers on a connection, in their order, until it ends.
+async fn statuses(mut stream: TcpStream) -> Vec<String> {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let answers = text.split("HTTP/1.1 ").skip(1);
+    answers.map(|answer| answer[..3].to_owned()).collect()
+}
+
+/// A planned stop does not wait for ever for a request that hangs, and the caller hears of each of them.
+#[tokio::test]
+async fn a_stop_gives_each_request_that_was_read_its_final_answer() {
+    let (address, stop, task) = listener(Duration::from_millis(100)).await;
+    let stream = send(address, &["/one", "/stuck", "/two", "/stuck"]).await;
+    let mut first = [0; 12];
+    stream.peek(&mut first).await.unwrap();
+    stop.send(true).unwrap();
+    assert_eq!(statuses(stream).await, ["400", "502", "400", "502"]);
+    task.await.unwrap();
+}
+
+/// What came first is answered first, whatever ends first.
+#[tokio::test]
+async fn answers_come_in_the_order_of_their_requests() {
+    let (address, stop, _task) = listener(Duration::from_secs(10)).await;
+    let stream = send(address, &["/one", "/two", "/three"]).await;
+    let mut first = [0; 12];
+    stream.peek(&mut first).await.unwrap();
+    stop.send(true).unwrap();
+    assert_eq!(statuses(stream).await, ["400", "400", "400"]);
+}
