Deliver the answer that tells most of several attempts

Cause: found in reading: an answer of a backend server, though a failure, was replaced by a later attempt that broke off, so that the caller heard 502 with an unknown outcome where a whole answer was there.

Change: of several attempts the answer of a backend server goes before doubt, and doubt before a refusal; of equal ones the later.

Ruled out: keeping the first answer always (a later failure is the newer word of the backend servers).

Before: tests/retries.rs, a_broken_answer_does_not_replace_a_whole_one, failed in three of four runs (the order in which instances are asked is drawn); after: three of three whole runs of the file pass.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -106,15 +106,16 @@
     }
 }
 
-/// Of two answers to one call, the later one, unless only the earlier one knows of a run.
+/// Of two answers to one call, the one that tells more: what a backend server answered before doubt about a
+/// run, and that before a refusal; of two that tell as much, the later one.
 fn telling(earlier: Option<Answer>, later: Answer) -> Answer {
+    let tells = |answer: &Answer| match answer.report.outcome {
+        Outcome::Ran => 2,
+        Outcome::Unknown => 1,
+        Outcome::NotRun => 0,
+    };
     match earlier {
-        Some(earlier)
-            if later.report.outcome == Outcome::NotRun
-                && earlier.report.outcome != Outcome::NotRun =>
-        {
-            earlier
-        }
+        Some(earlier) if tells(&earlier) > tells(&later) => earlier,
         _ => later,
     }
 }
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -67,6 +67,18 @@
     assert_eq!(&answer.body[..], b"oops");
 }
 
+/// One instance answers that it failed, the other breaks off: the answer that was made is delivered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_does_not_replace_a_whole_one() {
+    for (first, second) in [(FAILS, "garbage"), ("garbage", FAILS)] {
+        let fleet = instances(2).await;
+        fleet.strange(1, vec![first]).await;
+        fleet.strange(2, vec![second]).await;
+        let answer = fleet.ask(0, Question::get("/deep").key("acme-key")).await;
+        assert_eq!((answer.status.as_u16(), answer.outcome()), (500, "ran"));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn what_reached_no_backend_server_may_come_again() {
     let fleet = instances(1).await;
