Say where a late request spent its time

Answers now carry how long the request waited for a slot and held one; late attempts, each daemon's load, queues by importance and answers that were held back on their connection are written, all bounded in number, and counted in histograms.

No decision is changed.

--- a/benches/listener.rs
+++ b/benches/listener.rs
@@ -8,7 +8,7 @@
 
 use gypsumtack::dialect::Dialect;
 use gypsumtack::message::{Answer, Message, Response};
-use gypsumtack::pipeline;
+use gypsumtack::pipeline::{self, Delivery, Hooks};
 use gypsumtack::reason::Reason;
 use gypsumtack::server::{self, Bounds};
 use gypsumtack::time::Clock;
@@ -94,7 +94,8 @@
         }
     };
     let bounds = || Bounds::inner(1_000);
-    tokio::spawn(pipeline::serve(listener, bounds, Dialect::own(), stop, handler));
+    let hooks = Hooks { handler, bounds, delivered: |_: Delivery<'_>| () };
+    tokio::spawn(pipeline::serve(listener, Dialect::own(), stop, hooks));
     address
 }
 
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -9,7 +9,7 @@
 use crate::announcement::BackendServer;
 use crate::connection::Lost;
 use crate::document::{CustomerId, Policy};
-use crate::envelope::{Envelope, Load, Reach, Report};
+use crate::envelope::{Envelope, Load, Reach, Report, Stay};
 use crate::guard::Work;
 use crate::intake::Observed;
 use crate::journal;
@@ -50,10 +50,14 @@
         return refuse(shared, &envelope, Reason::SuspectRuns);
     }
     let work = work_of(shared, &envelope, deadline);
+    let offered = board.clock.now();
     let mut permit = match board.gate.enter(work, &envelope.route).await {
         Ok(permit) => permit,
         Err(reason) => return refuse(shared, &envelope, reason),
     };
+    let started = board.clock.now();
+    let waited = started.since(offered);
+    board.note_wait(envelope.importance, waited);
     let entry = board.live.enter(Live::new(envelope.clone(), deadline));
     let running = Running::begin(shared, &envelope.route);
     let answer = exchange(shared, &backend, &entry, message).await;
@@ -63,15 +67,18 @@
         (_, Outcome::Ran) => board.note_taken(false),
         _ => {}
     }
+    let held = board.clock.now().since(started);
     if answer.report.outcome == Outcome::Ran {
         permit.complete();
+        board.pulse.note_hold(held);
     }
     drop(permit);
     board.learn_served(&envelope.route);
     let live = entry.live();
     let spent = envelope.allowance.saturating_sub(live.ledger.left());
     let (load, reach) = observe(shared, &envelope, live.reach());
-    Answer { report: Report { request, spent, load, reach, ..answer.report }, ..answer }
+    let stay = Stay::new(waited, held);
+    Answer { report: Report { request, spent, load, reach, stay, ..answer.report }, ..answer }
 }
 
 /// Counts a request while the backend server runs it, so that its calls can be told from others'.
--- a/src/beside.rs
+++ b/src/beside.rs
@@ -3,10 +3,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use crate::board::Board;
+use crate::document::Importance;
 use crate::envelope::Reach;
 use crate::log::PACE;
+use crate::metrics::WaitLabels;
+use crate::pipeline::Delivery;
 use crate::quarantine::{Fingerprint, Quarantine, Standing};
 use crate::reason::Reason;
 use crate::room::{Capacity, Verdict};
@@ -16,6 +20,12 @@
 /// The part of the slots that work can fill, those that are left free deducted.
 const FILLED: f64 = 0.94;
 
+/// Waits below this are not written: a queue of that length keeps slots busy.
+const SHORT_WAIT: Duration = Duration::from_millis(5);
+
+/// From how long on an answer that was held back leaves a line of its own.
+const LONG_HOLD: Duration = Duration::from_millis(50);
+
 impl Board {
     /// Whether a request may be tried at the local backend server, or that refuses everything.
     pub fn may_try(&self) -> bool {
@@ -63,6 +73,76 @@
         verdict
     }
 
+    /// Notes how long a request waited for a slot of the local backend server.
+    pub fn note_wait(&self, importance: Importance, span: Duration) {
+        self.pulse.note_wait(importance, span);
+        let labels = WaitLabels { importance: importance.as_str() };
+        self.metrics.waits.get_or_create(&labels).observe(span.as_secs_f64());
+    }
+
+    /// Notes how long a ready answer waited for the answers before it on its caller's connection.
+    pub fn note_delivery(&self, delivery: &Delivery<'_>) {
+        let Delivery { request, behind, held } = *delivery;
+        self.metrics.held_back.observe(held.as_secs_f64());
+        self.pulse.note_held_back(held);
+        if held < LONG_HOLD {
+            return;
+        }
+        let Some(weight) = self.refusal_lines.weigh("held-back", self.clock.now()) else { return };
+        tracing::info!(
+            event = "held-back",
+            weight,
+            vm = self.settings.vm,
+            %request,
+            behind = behind.map(tracing::field::display),
+            ms = held.as_millis() as u64,
+        );
+    }
+
+    /// Notes by how much a timer of this daemon fired late.
+    pub fn note_lag(&self, span: Duration) {
+        self.pulse.note_lag(span);
+        self.metrics.lag.observe(span.as_secs_f64());
+    }
+
+    /// Writes how this daemon and its backend server did since the last call: one line, and one for each
+    /// importance that waited for a slot.
+    pub fn write_load(&self) {
+        let (lag, holds) = (self.pulse.take_lag(), self.pulse.take_holds());
+        let held_back = self.pulse.take_held_back();
+        let load = self.gate.load();
+        let vm = &self.settings.vm;
+        tracing::info!(
+            event = "load",
+            vm,
+            service = self.own_service(),
+            slots = load.slots,
+            in_flight = load.in_flight,
+            queued = load.queued,
+            ended = holds.count(),
+            held_ms = holds.mean().as_millis() as u64,
+            held_most_ms = holds.most().as_millis() as u64,
+            answered = held_back.count(),
+            held_back_ms = held_back.mean().as_millis() as u64,
+            held_back_most_ms = held_back.most().as_millis() as u64,
+            lag_ms = lag.mean().as_millis() as u64,
+            lag_most_ms = lag.most().as_millis() as u64,
+        );
+        for (importance, waits) in self.pulse.take_waits() {
+            if waits.most() < SHORT_WAIT {
+                continue;
+            }
+            tracing::info!(
+                event = "queue",
+                vm,
+                importance = importance.as_str(),
+                started = waits.count(),
+                waited_ms = waits.mean().as_millis() as u64,
+                waited_most_ms = waits.most().as_millis() as u64,
+            );
+        }
+    }
+
     /// Learns where a route leads from the local backend server.
     pub fn learn_below(&self, route: &str, reach: &[Reach]) {
         if let Some(below) = self.tables.load().below.get(route) {
--- a/src/board.rs
+++ b/src/board.rs
@@ -22,6 +22,7 @@
 use crate::log::Sampler;
 use crate::member::{Record, State, View};
 use crate::metrics::Metrics;
+use crate::pulse::Pulse;
 use crate::quarantine::Quarantine;
 use crate::room::Room;
 use crate::roster::Roster;
@@ -81,8 +82,10 @@
     pub(crate) room: Mutex<Room>,
     pub(crate) shedding: Shedding,
     pub(crate) room_line: Pace,
-    /// Bounds the lines about refusals.
+    /// Bounds the lines about refusals and late answers.
     pub refusal_lines: Sampler,
+    /// How this daemon and its backend server have been doing.
+    pub pulse: Pulse,
     /// Told whenever there is something that other daemons should hear at once.
     pub news: Notify,
     /// Where a newer document was heard of.
@@ -136,6 +139,7 @@
             shedding: Shedding::default(),
             room_line: Pace::default(),
             refusal_lines: Sampler::default(),
+            pulse: Pulse::default(),
             news: Notify::new(),
             newer_document: watch::Sender::default(),
             newer_roster: watch::Sender::default(),
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -8,6 +8,7 @@
 
 use crate::board::{Board, Newer};
 use crate::error::StoreError;
+use crate::log::PACE;
 use crate::member::{Record, View};
 use crate::roster::{self, Members, Roster};
 use crate::shared::Shared;
@@ -56,8 +57,10 @@
 /// entry refuses for want of room there.
 pub async fn admission(shared: Arc<Shared>) {
     loop {
-        tokio::time::sleep(ADMISSION_PERIOD).await;
         let board = &shared.board;
+        let due = board.clock.now() + ADMISSION_PERIOD;
+        tokio::time::sleep(ADMISSION_PERIOD).await;
+        board.note_lag(board.clock.now().since(due));
         let (policy, tables) = (board.policy.load_full(), board.tables.load_full());
         let due = board.feedback.due(&policy, &tables, board.clock.now());
         let asks = due.iter().map(|(service, work)| ask_room(&shared, service, *work));
@@ -66,6 +69,14 @@
     }
 }
 
+/// Writes every second how this daemon and its backend server are doing.
+pub async fn load_lines(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(PACE).await;
+        shared.board.write_load();
+    }
+}
+
 /// Asks the first instance of a service that can be reached, so that all entries ask the same one.
 async fn ask_room(shared: &Shared, service: &str, work: f64) {
     let board = &shared.board;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::feed::Format;
 use crate::key::FleetKeys;
 use crate::peer::Links;
+use crate::pipeline::{Delivery, Hooks};
 use crate::server::{self, Bounds};
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -152,6 +153,7 @@
             tokio::spawn(feed::run(Arc::clone(&shared))),
             tokio::spawn(peer::watch_links(Arc::clone(&shared))),
             tokio::spawn(controllers::admission(Arc::clone(&shared))),
+            tokio::spawn(controllers::load_lines(Arc::clone(&shared))),
             tokio::spawn(controllers::heartbeats(Arc::clone(&shared))),
             tokio::spawn(controllers::registration(Arc::clone(&shared))),
             tokio::spawn(controllers::rosters(Arc::clone(&shared))),
@@ -265,7 +267,10 @@
             let handler = move |id, message| entry::handle(Arc::clone(&own), id, message);
             let asked = Arc::clone(shared);
             let bounds = move || bounds(&asked, asked.board.settings.limits.caller_connections);
-            pipeline::serve(callers, bounds, shared.dialect.clone(), stop, handler)
+            let board = Arc::clone(&shared.board);
+            let delivered = move |delivery: Delivery<'_>| board.note_delivery(&delivery);
+            let hooks = Hooks { handler, bounds, delivered };
+            pipeline::serve(callers, shared.dialect.clone(), stop, hooks)
         });
         let egress = egress.map(|egress| {
             let own = Arc::clone(shared);
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -5,6 +5,7 @@
 //! what was weighed.
 
 use std::fmt;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -143,12 +144,39 @@
     pub reason: Option<Reason>,
     /// Services that such a request reaches, if the asker was curious.
     pub reach: Vec<Reach>,
+    /// Where the request spent its time beside the backend server.
+    pub stay: Stay,
 }
 
 impl Report {
     /// The report about a request, before anything is known of load and reach.
     pub fn new(request: RequestId, outcome: Outcome, reason: Option<Reason>) -> Self {
-        Self { request, outcome, spent: 0, load: Load::default(), reason, reach: Vec::new() }
+        Self {
+            request,
+            outcome,
+            spent: 0,
+            load: Load::default(),
+            reason,
+            reach: Vec::new(),
+            stay: Stay::default(),
+        }
+    }
+}
+
+/// Where a request spent its time beside the backend server that answered it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Stay {
+    /// How long it waited for a slot, in microseconds.
+    pub waited_us: u32,
+    /// How long it held one, in microseconds.
+    pub held_us: u32,
+}
+
+impl Stay {
+    /// Makes it from both spans.
+    pub fn new(waited: Duration, held: Duration) -> Self {
+        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
+        Self { waited_us: micros(waited), held_us: micros(held) }
     }
 }
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,7 +9,7 @@
 use crate::backend;
 use crate::board::Board;
 use crate::document::ServiceId;
-use crate::envelope::Envelope;
+use crate::envelope::{Envelope, Report};
 use crate::instance::Instance;
 use crate::message::{Answer, Message};
 use crate::peer;
@@ -183,6 +183,7 @@
         curious: is_curious(shared, call, instance),
         ..call.envelope.clone()
     };
+    let began = board.clock.now();
     let sent = instance.send();
     let answer = if instance.vm == board.settings.vm {
         backend::run(shared, envelope, call.message.clone()).await
@@ -191,6 +192,7 @@
     };
     drop(sent);
     let report = &answer.report;
+    note_late(board, call, instance, report, board.clock.now().since(began));
     ledger.give_back(lent.saturating_sub(report.spent));
     if report.load.slots > 0 {
         instance.report(report.load);
@@ -206,6 +208,29 @@
     answer
 }
 
+/// Writes where an attempt that took longer than the whole latency objective spent its time.
+fn note_late(board: &Board, call: &Call, instance: &Instance, report: &Report, span: Duration) {
+    let objective = Duration::from_millis(u64::from(call.envelope.objective));
+    if span <= objective {
+        return;
+    }
+    let Some(weight) = board.refusal_lines.weigh("late", board.clock.now()) else { return };
+    tracing::info!(
+        event = "late",
+        weight,
+        vm = board.settings.vm,
+        request = %call.envelope.request,
+        route = call.envelope.route,
+        importance = call.envelope.importance.as_str(),
+        instance = instance.vm,
+        outcome = report.outcome.as_str(),
+        objective_ms = call.envelope.objective,
+        ms = span.as_millis() as u64,
+        waited_ms = report.stay.waited_us / 1_000,
+        held_ms = report.stay.held_us / 1_000,
+    );
+}
+
 /// Whether the answer tells against the instance: it broke off, shed or failed by itself. What its daemon
 /// refused does not.
 fn is_failure(answer: &Answer) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod peer;
 pub mod pipeline;
 pub mod publish;
+pub mod pulse;
 pub mod quarantine;
 pub mod reason;
 pub mod reload;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -44,6 +44,13 @@
     pub reason: &'static str,
 }
 
+/// Labels of a wait for a slot.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct WaitLabels {
+    /// The importance.
+    pub importance: &'static str,
+}
+
 /// All metrics of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -55,6 +62,12 @@
     pub refusals: Family<GuardLabels, Counter>,
     /// Seconds from entry to answer.
     pub seconds: Histogram,
+    /// Seconds that requests waited for a slot of the local backend server.
+    pub waits: Family<WaitLabels, Histogram>,
+    /// Seconds by which timers of this daemon fired late.
+    pub lag: Histogram,
+    /// Seconds that ready answers waited for those before them on their connections.
+    pub held_back: Histogram,
     /// Tokens borrowed from other VMs.
     pub borrowed: Counter,
     /// Exchanges with the platform that failed.
@@ -87,7 +100,10 @@
             requests: Family::default(),
             retries: Family::default(),
             refusals: Family::default(),
-            seconds: Histogram::new(exponential_buckets(0.000_5, 2.0, 15)),
+            seconds: spans(),
+            waits: Family::new_with_constructor(spans),
+            lag: spans(),
+            held_back: spans(),
             borrowed: Counter::default(),
             platform_failures: Counter::default(),
             document: Gauge::default(),
@@ -113,6 +129,11 @@
         registry.register("retries", "Attempts beyond the first", self.retries.clone());
         registry.register("refusals", "Refusals at the guard", self.refusals.clone());
         registry.register("request_seconds", "Time from entry to answer", self.seconds.clone());
+        let waits = self.waits.clone();
+        registry.register("queue_wait_seconds", "Time that requests waited for a slot", waits);
+        let held_back = self.held_back.clone();
+        registry.register("held_back_seconds", "Time that ready answers waited", held_back);
+        registry.register("timer_lag_seconds", "Lateness of timers", self.lag.clone());
         registry.register("borrowed", "Tokens borrowed from other VMs", self.borrowed.clone());
         let failures = self.platform_failures.clone();
         registry.register("platform_failures", "Failed exchanges with the platform", failures);
@@ -121,3 +142,8 @@
         registry.register("queued", "Requests that wait for a slot", self.queued.clone());
     }
 }
+
+/// A histogram of times from half a millisecond to eight seconds.
+fn spans() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_5, 2.0, 15))
+}
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -44,39 +44,61 @@
 /// bytes would take back answers that are on their way.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
+/// What the listener asks for and tells.
+#[derive(Debug, Clone)]
+pub struct Hooks<H, B, D> {
+    /// Answers one request.
+    pub handler: H,
+    /// The bounds, asked for each request, since they may follow the document.
+    pub bounds: B,
+    /// Told of each answer that is written, with how long it was ready before.
+    pub delivered: D,
+}
+
+/// An answer that is written.
+#[derive(Debug)]
+pub struct Delivery<'a> {
+    /// The request that it answers.
+    pub request: &'a RequestId,
+    /// The request before it on the connection, behind whose answer it had to wait.
+    pub behind: Option<&'a RequestId>,
+    /// For how long it was ready.
+    pub held: Duration,
+}
+
 /// Serves `listener` until `stop` turns true, then finishes the requests that were read and returns.
-///
-/// `bounds` is asked for each request, since they may follow the document.
-pub async fn serve<H, F, B>(
+pub async fn serve<H, F, B, D>(
     listener: TcpListener,
-    bounds: B,
     dialect: Dialect,
     mut stop: watch::Receiver<bool>,
-    handler: H,
+    hooks: Hooks<H, B, D>,
 ) where
     H: Fn(RequestId, Message) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds + Clone + Send + Sync + 'static,
+    D: Fn(Delivery<'_>) + Clone + Send + Sync + 'static,
 {
     let dialect = Arc::new(dialect);
-    let most = bounds().connections;
+    let most = (hooks.bounds)().connections;
     let slots = Arc::new(Semaphore::new(most));
     while let Some(stream) = accept(&listener, &mut stop).await {
         let (stop, dialect) = (stop.clone(), Arc::clone(&dialect));
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             let limit = most as u64;
-            let refuse = move |name, message: Message| async move {
+            let handler = move |name, message: Message| async move {
                 drop(message);
                 Answer::not_run(name, Reason::TooManyConnections { limit })
             };
-            let mut connection = Connection::new(stream, bounds.clone(), dialect, refuse);
+            let Hooks { bounds, delivered, .. } = hooks.clone();
+            let refusing = Hooks { handler, bounds, delivered };
+            let mut connection = Connection::new(stream, dialect, refusing);
             connection.once = true;
             tokio::spawn(async move {
                 let _ = tokio::time::timeout(REFUSAL_TIME, connection.run(stop)).await;
             });
             continue;
         };
-        let connection = Connection::new(stream, bounds.clone(), dialect, handler.clone());
+        let connection = Connection::new(stream, dialect, hooks.clone());
         tokio::spawn(async move {
             connection.run(stop).await;
             drop(slot);
@@ -88,7 +110,7 @@
 }
 
 /// One caller's connection.
-struct Connection<H, B> {
+struct Connection<H, B, D> {
     clock: Clock,
     reader: OwnedReadHalf,
     writer: OwnedWriteHalf,
@@ -96,13 +118,14 @@
     output: BytesMut,
     part: Part,
     queue: VecDeque<Pending>,
+    /// The request that was answered last.
+    previous: Option<RequestId>,
     /// The connection is for one request only.
     once: bool,
     /// Nothing more is read: the connection ends behind the answers that are owed.
     last: bool,
-    bounds: B,
     dialect: Arc<Dialect>,
-    handler: H,
+    hooks: Hooks<H, B, D>,
 }
 
 /// The request that is being read.
@@ -123,7 +146,8 @@
 /// An answer that is owed.
 struct Pending {
     name: RequestId,
-    task: AbortOnDropHandle<Answer>,
+    /// The answer, and when it was ready.
+    task: AbortOnDropHandle<(Answer, Time)>,
     /// Answers to HEAD have no body.
     bodiless: bool,
 }
@@ -132,19 +156,20 @@
 enum Event {
     Read(std::io::Result<usize>),
     Written(std::io::Result<usize>),
-    Answered(Option<Box<Answer>>),
+    Answered(Option<Box<(Answer, Time)>>),
     Stopped,
     GivenUp,
     Late,
 }
 
-impl<H, F, B> Connection<H, B>
+impl<H, F, B, D> Connection<H, B, D>
 where
     H: Fn(RequestId, Message) -> F,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds,
+    D: Fn(Delivery<'_>),
 {
-    fn new(stream: TcpStream, bounds: B, dialect: Arc<Dialect>, handler: H) -> Self {
+    fn new(stream: TcpStream, dialect: Arc<Dialect>, hooks: Hooks<H, B, D>) -> Self {
         let (reader, writer) = stream.into_split();
         Self {
             clock: Clock::start(),
@@ -154,11 +179,11 @@
             output: BytesMut::new(),
             part: Part::Head,
             queue: VecDeque::new(),
+            previous: None,
             once: false,
             last: false,
-            bounds,
             dialect,
-            handler,
+            hooks,
         }
     }
 
@@ -187,7 +212,7 @@
                 }
                 Event::Stopped => {
                     stopping = true;
-                    end = self.clock.now() + (self.bounds)().stop_time;
+                    end = self.clock.now() + (self.hooks.bounds)().stop_time;
                 }
                 Event::GivenUp => {
                     end = Time::MAX;
@@ -205,7 +230,7 @@
         end: Option<Time>,
         since: Time,
     ) -> Event {
-        let bounds = (self.bounds)();
+        let bounds = (self.hooks.bounds)();
         let waits = match (self.output.is_empty(), self.input.is_empty(), self.queue.is_empty()) {
             (false, ..) => Some(WRITE_TIME),
             (true, false, true) => Some(bounds.header_time),
@@ -242,7 +267,7 @@
     /// Starts every request that stands whole in the input.
     fn read_requests(&mut self) {
         while !self.last && self.queue.len() < DEPTH {
-            let bounds = (self.bounds)();
+            let bounds = (self.hooks.bounds)();
             match std::mem::replace(&mut self.part, Part::Head) {
                 Part::Head => match Head::take(&mut self.input) {
                     Ok(Some(head)) => self.begin_body(head, bounds),
@@ -335,14 +360,16 @@
     fn start(&mut self, message: Message) {
         let bodiless = message.method == Method::HEAD;
         let name = self.dialect.name_of(&message.headers);
-        let task = AbortOnDropHandle::new(tokio::spawn((self.handler)(name.clone(), message)));
+        let (handling, clock) = ((self.hooks.handler)(name.clone(), message), self.clock);
+        let task = tokio::spawn(async move { (handling.await, clock.now()) });
+        let task = AbortOnDropHandle::new(task);
         self.queue.push_back(Pending { name, task, bodiless });
     }
 
     /// Refuses what cannot be read. Nothing behind it can be told from it, so the connection ends.
     fn refuse(&mut self, reason: Reason) {
         let name = RequestId::random(&mut rand::rng());
-        let task = ready(Answer::not_run(name.clone(), reason));
+        let task = ready(Answer::not_run(name.clone(), reason), self.clock);
         self.queue.push_back(Pending { name, task, bodiless: false });
         self.last = true;
     }
@@ -350,22 +377,28 @@
     /// Gives up what has not ended within the time of a stop. Each request gets its final answer, also those
     /// whose answers were ready behind a request that was not.
     fn give_up(&mut self) {
+        let clock = self.clock;
         for pending in self.queue.iter_mut().filter(|pending| !pending.task.is_finished()) {
             let name = pending.name.clone();
-            pending.task = ready(Answer::refusal(name, Outcome::Unknown, Reason::Leaving));
+            pending.task = ready(Answer::refusal(name, Outcome::Unknown, Reason::Leaving), clock);
         }
         self.part = Part::Head;
         self.last = true;
     }
 
     /// Writes the answer that was owed first. One whose task failed ends the connection.
-    fn write_answer(&mut self, answer: Option<Box<Answer>>, stopping: bool) {
-        let bodiless = self.queue.pop_front().is_some_and(|pending| pending.bodiless);
-        let Some(answer) = answer else {
+    fn write_answer(&mut self, answer: Option<Box<(Answer, Time)>>, stopping: bool) {
+        let front = self.queue.pop_front();
+        let (Some(Pending { name, bodiless, .. }), Some(answer)) = (front, answer) else {
             self.queue.clear();
             self.last = true;
             return;
         };
+        let (answer, ready) = *answer;
+        let held = self.clock.now().since(ready);
+        let behind = self.previous.as_ref();
+        (self.hooks.delivered)(Delivery { request: &name, behind, held });
+        self.previous = Some(name);
         let held = matches!(self.part, Part::Held(_));
         let ends = (self.last || stopping) && self.queue.is_empty() && !held;
         let response = answer.into_response(&self.dialect);
@@ -384,8 +417,8 @@
 }
 
 /// An answer that nothing has to be done for.
-fn ready(answer: Answer) -> AbortOnDropHandle<Answer> {
-    AbortOnDropHandle::new(tokio::spawn(async move { answer }))
+fn ready(answer: Answer, clock: Clock) -> AbortOnDropHandle<(Answer, Time)> {
+    AbortOnDropHandle::new(tokio::spawn(async move { (answer, clock.now()) }))
 }
 
 fn too_large(bounds: Bounds) -> Reason {
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -1,16 +1,18 @@
 //! The listener for callers: order, stops, and requests that do not end.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gypsumtack::dialect::Dialect;
+use gypsumtack::envelope::RequestId;
 use gypsumtack::message::{Answer, Message};
-use gypsumtack::pipeline;
+use gypsumtack::pipeline::{self, Delivery, Hooks};
 use gypsumtack::reason::{Outcome, Reason};
 use gypsumtack::server::Bounds;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
 
 /// A listener whose handler never ends for `/stuck`, and tells the path of any other request at once.
@@ -26,7 +28,8 @@
         let problem = message.uri.path().to_owned();
         Answer::refusal(name, Outcome::Ran, Reason::BadRequest { problem })
     };
-    let task = tokio::spawn(pipeline::serve(listener, bounds, Dialect::own(), stopped, handler));
+    let hooks = Hooks { handler, bounds, delivered: |_: Delivery<'_>| () };
+    let task = tokio::spawn(pipeline::serve(listener, Dialect::own(), stopped, hooks));
     (address, stop, task)
 }
 
@@ -68,3 +71,35 @@
     stop.send(true).unwrap();
     assert_eq!(statuses(stream).await, ["400", "400", "400"]);
 }
+
+/// Staff are told why a quick answer came late: it was ready, and had to wait for a slower one that its
+/// caller asked for before on the same connection.
+#[tokio::test]
+async fn an_answer_that_was_held_back_names_the_request_in_front() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(false);
+    let ready = Arc::new(Notify::new());
+    let handler = move |name: RequestId, message: Message| {
+        let ready = Arc::clone(&ready);
+        async move {
+            match message.uri.path() {
+                "/slow" => ready.notified().await,
+                _ => ready.notify_one(),
+            }
+            Answer::not_run(name, Reason::NoDocument)
+        }
+    };
+    let (sender, mut deliveries) = mpsc::unbounded_channel();
+    let delivered = move |delivery: Delivery<'_>| {
+        let Delivery { request, behind, .. } = delivery;
+        sender.send((request.clone(), behind.cloned())).unwrap();
+    };
+    let hooks = Hooks { handler, bounds: || Bounds::inner(10), delivered };
+    tokio::spawn(pipeline::serve(listener, Dialect::own(), stopped, hooks));
+    let _stream = send(address, &["/slow", "/quick"]).await;
+    let (slow, before) = deliveries.recv().await.unwrap();
+    assert_eq!(before, None);
+    let (_, before) = deliveries.recv().await.unwrap();
+    assert_eq!(before, Some(slow));
+}
