--- a/src/forward.rs
+++ b/src/forward.rs
@@ -195,7 +195,7 @@
     note_late(board, call, instance, report, board.clock.now().since(began));
     ledger.give_back(lent.saturating_sub(report.spent));
     if report.load.slots > 0 {
-        instance.report(report.load);
+        instance.report(report.load, board.clock.now());
     }
     if learns(shared, call) {
         board.learn(&call.envelope.route, &report.reach);
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -77,7 +77,7 @@
     }
 
     /// The load that came with an answer.
-    pub fn report(&self, load: Load) {
+    pub fn report(&self, load: Load, _now: Time) {
         self.reported.store(load.in_flight + load.queued, Ordering::Relaxed);
         self.mean_us.store(load.mean_us, Ordering::Relaxed);
     }
--- /dev/null
+++ b/tests/sparse.rs
@@ -0,0 +1,161 @@
+//! What one of many entries refuses, when each customer comes to it once in a while only. No network.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use gypsumtack::document::{
+    Customer, CustomerId, Draft, Importance, LimitSpec, Policy, Route, Service,
+};
+use gypsumtack::envelope::Reach;
+use gypsumtack::feedback::Feedback;
+use gypsumtack::room::Verdict;
+use gypsumtack::tables::Tables;
+use gypsumtack::time::Time;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SERVICE: &str = "verify";
+const CUSTOMERS: u32 = 86;
+
+/// How often entries decide again.
+const PERIOD: Duration = Duration::from_millis(50);
+
+fn policy(importances: &[Importance]) -> Policy {
+    let customer = |at: u32| {
+        let customer = Customer {
+            name: format!("customer-{at}"),
+            limit: None,
+            weight: 1,
+            rank: 0,
+            refuse_isolated: false,
+            granted: true,
+        };
+        (customer, Vec::new())
+    };
+    let route = |importance: &Importance| {
+        let route = Route {
+            name: importance.as_str().to_owned(),
+            host: None,
+            path: format!("/{importance}"),
+            methods: BTreeSet::new(),
+            targets: Vec::new(),
+            importance: *importance,
+            idempotent: true,
+            open: false,
+            deadline: Duration::from_secs(6),
+            objective: Duration::from_secs(2),
+            attempts: 2,
+            retries: 1,
+        };
+        (route, vec![(SERVICE.to_owned(), 1)])
+    };
+    let service = Service {
+        name: SERVICE.to_owned(),
+        retry_ratio: 0.1,
+        retired: BTreeSet::new(),
+        ramp: Duration::ZERO,
+    };
+    let draft = Draft {
+        limits: LimitSpec::default(),
+        domains: BTreeSet::new(),
+        services: vec![service],
+        customers: (0..CUSTOMERS).map(customer).collect(),
+        routes: importances.iter().map(route).collect(),
+    };
+    Policy::build(draft, 1, &Policy::empty())
+}
+
+/// One entry of a fleet.
+struct Entry {
+    policy: Policy,
+    tables: Tables,
+    feedback: Feedback,
+    rng: SmallRng,
+}
+
+impl Entry {
+    fn new(importances: &[Importance], seed: u64) -> Self {
+        let policy = policy(importances);
+        let tables = Tables::default().follow(&policy, Time::ZERO);
+        for importance in importances {
+            let reach = Reach { service: SERVICE.to_owned(), work_ms: 100.0 };
+            for _ in 0..50 {
+                tables.routes[importance.as_str()].learn(std::slice::from_ref(&reach));
+            }
+        }
+        Self { policy, tables, feedback: Feedback::default(), rng: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// Plays 30 s in which requests of each route come at its `rate`, and those of `greedy` with `extra` more,
+    /// while the service wants the share `level` refused. Returns for each route the parts of the requests that
+    /// are refused: of the greedy customer, and of all others.
+    fn refused(&mut self, rates: &[f64], greedy: (CustomerId, f64), level: f32) -> Vec<[f64; 2]> {
+        let mut counts = vec![[(0.0, 0.0); 2]; rates.len()];
+        let start = Time::from_millis(10_000);
+        for tick in 0..600 {
+            let begin = start + PERIOD * tick;
+            self.feedback.due(&self.policy, &self.tables, begin);
+            self.feedback.hear(SERVICE, Verdict { level, busy: 2.0 }, begin);
+            self.feedback.decide(&self.policy, &self.tables, begin);
+            for (route, rate) in rates.iter().enumerate() {
+                let kinds = [(Some(greedy.0), greedy.1), (None, *rate)];
+                for (kind, (customer, rate)) in kinds.into_iter().enumerate() {
+                    let mut mean = rate * PERIOD.as_secs_f64();
+                    while self.rng.random::<f64>() < mean {
+                        mean -= 1.0;
+                        let any = CustomerId::new(self.rng.random_range(0..CUSTOMERS));
+                        let customer = customer.unwrap_or(any);
+                        let now = begin + PERIOD.mul_f64(self.rng.random());
+                        let name = &self.policy.routes()[route].name;
+                        self.tables.routes[name].offered(Some(customer), now);
+                        let share = self.feedback.refused(route, Some(customer));
+                        // The first seconds are for learning.
+                        if tick >= 100 {
+                            counts[route][kind].0 += f64::from(share);
+                            counts[route][kind].1 += 1.0;
+                        }
+                    }
+                }
+            }
+        }
+        let part = |(refused, all): (f64, f64)| if all > 0.0 { refused / all } else { 0.0 };
+        counts.into_iter().map(|kinds| kinds.map(part)).collect()
+    }
+}
+
+const NOBODY: (CustomerId, f64) = (CustomerId::new(0), 0.0);
+
+/// The load: 87 entries and 86 customers, so that a customer comes to one entry with one kind of request every
+/// seven seconds, and the service wants half of the work refused.
+#[test]
+fn rarely_seen_customers_are_refused_their_share() {
+    for seed in 0..5 {
+        let mut entry = Entry::new(&[Importance::Normal], seed);
+        let [[_, refused]] = entry.refused(&[12.0], NOBODY, 0.5)[..] else { unreachable!() };
+        assert!((refused - 0.5).abs() < 0.1, "seed {seed}: {refused:.2} are refused, not half");
+    }
+}
+
+/// The same, with a more important kind beside it, for which there is room.
+#[test]
+fn rarely_seen_customers_keep_their_important_requests() {
+    for seed in 0..5 {
+        let mut entry = Entry::new(&[Importance::High, Importance::Normal], seed);
+        let refused = entry.refused(&[4.0, 8.0], NOBODY, 0.4);
+        assert!(refused[0][1] < 0.03, "seed {seed}: {:.2} of the important are", refused[0][1]);
+        assert!((refused[1][1] - 0.6).abs() < 0.12, "seed {seed}: {:.2}", refused[1][1]);
+    }
+}
+
+/// The same, while one customer sends several times what all others send together: what it sends too much goes
+/// before theirs.
+#[test]
+fn a_greedy_customer_is_refused_before_rarely_seen_ones() {
+    for seed in 0..5 {
+        let mut entry = Entry::new(&[Importance::Normal], seed);
+        let greedy = (CustomerId::new(3), 24.0);
+        let [[greedy, others]] = entry.refused(&[12.0], greedy, 0.5)[..] else { unreachable!() };
+        assert!(greedy > 0.6, "seed {seed}: {greedy:.2} of the greedy customer's are refused");
+        assert!(others < 0.2, "seed {seed}: {others:.2} of the others' are refused");
+    }
+}
