Let no work starve behind work of equal importance

Cause: a fixed order between classes of equal importance. registry-peek calls, as important and as urgent as verify, are begun work and went before it whenever one waited; in a burst one always does.

One slot in eight now goes to what has waited longest among equally important work.

Four of six instances still queue beside two that idle.

--- a/src/guard.rs
+++ b/src/guard.rs
@@ -3,7 +3,9 @@
 //! The guard holds as many requests in flight as the backend server has slots. Others wait in a queue
 //! that is bounded by time: a request whose predicted wait leaves too little of its deadline is
 //! refused at once. The order is importance, then the tighter latency objective, then begun work before
-//! new work, then start-time fair queueing between customers. All of it is pure. docs/DESIGN.md, "Guard", weighs the other ways.
+//! new work, then start-time fair queueing between customers. Only importance is strict: a part of the
+//! slots goes to whatever of equal importance has waited longest, so that none of it starves. All of it is
+//! pure. docs/DESIGN.md, "Guard", weighs the other ways.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -22,6 +24,10 @@
 /// at a busy instance.
 const TURNED_GAIN: f64 = 0.01;
 
+/// One slot in so many goes to what has waited longest of the most important work, and not to what stands
+/// first in the order. Work that asks for a smaller part than that hardly waits, whatever goes before it.
+const SURE_PART: u32 = 8;
+
 /// One weight unit of [`Work::weight`], so that tags keep their precision as integers.
 const WEIGHT_UNIT: u64 = 1 << 16;
 
@@ -109,6 +115,9 @@
     turned_away: f64,
     classes: BTreeMap<Rank, Class>,
     waiting: BTreeMap<Ticket, Place>,
+    /// Slots that went to the first class while others of its importance waited, since one went to the
+    /// class that had waited longest.
+    passed: u32,
     next: u64,
 }
 
@@ -125,6 +134,7 @@
             turned_away: 0.0,
             classes: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            passed: 0,
             next: 0,
         }
     }
@@ -196,7 +206,7 @@
         if let Some(reason) = self.late(&work, now) {
             return (Offer::Refuse(reason), none);
         }
-        let ticket = self.enqueue(&work);
+        let ticket = self.enqueue(&work, now);
         let mut shed = self.shed_excess();
         if let Some(at) = shed.iter().position(|lost| lost.ticket == ticket) {
             let own = shed.swap_remove(at);
@@ -234,22 +244,28 @@
         Some(Reason::QueueDelay { wait: millis(needed), left: millis(left) })
     }
 
-    /// Predicts the wait from the work that would run first.
+    /// Predicts the wait from the work that would run first: all that is more important, and what goes
+    /// before it of equal importance, unless its sure part of the slots is faster.
     ///
     /// In the request's own class, fair queueing serves the distance between its tag and the virtual
     /// time once for each unit of weight, and never more than what is queued.
     fn predicted_wait(&self, work: &Work) -> Duration {
         let rank = Rank::of(work);
-        let better: usize = self.classes.range(..rank).map(|(_, class)| class.len()).sum();
+        let (mut more, mut equal) = (0_usize, 0_usize);
+        for (other, class) in self.classes.range(..rank) {
+            let count = if other.importance == rank.importance { &mut equal } else { &mut more };
+            *count += class.len();
+        }
         let own = self.classes.get(&rank).map_or(0.0, |class| class.ahead_of(work));
-        let rounds = (better as f64 + own) / self.slots as f64;
+        let surely = f64::from(SURE_PART) * (own + 1.0);
+        let rounds = (more as f64 + (equal as f64 + own).min(surely)) / self.slots as f64;
         Duration::from_secs_f64(rounds * self.mean_service)
     }
 
-    fn enqueue(&mut self, work: &Work) -> Ticket {
+    fn enqueue(&mut self, work: &Work, now: Time) -> Ticket {
         let ticket = self.issue();
         let rank = Rank::of(work);
-        let tag = self.classes.entry(rank).or_default().push(ticket, work);
+        let tag = self.classes.entry(rank).or_default().push(ticket, work, now);
         self.waiting.insert(ticket, Place { rank, tag, customer: work.customer });
         ticket
     }
@@ -285,8 +301,11 @@
         start
     }
 
+    /// The next request to run: of the most important work the first in the order, or now and then what has
+    /// waited longest.
     fn pop(&mut self) -> Option<Ticket> {
-        let (&rank, class) = self.classes.iter_mut().next()?;
+        let rank = self.next_rank()?;
+        let class = self.classes.get_mut(&rank)?;
         let (tag, ticket, customer) = class.first()?;
         class.virtual_time = tag;
         self.waiting.remove(&ticket);
@@ -294,6 +313,21 @@
         Some(ticket)
     }
 
+    fn next_rank(&mut self) -> Option<Rank> {
+        let (&first, _) = self.classes.first_key_value()?;
+        let equal = self.classes.iter().take_while(|(rank, _)| rank.importance == first.importance);
+        if equal.clone().nth(1).is_none() {
+            self.passed = 0;
+            return Some(first);
+        }
+        self.passed += 1;
+        if self.passed < SURE_PART {
+            return Some(first);
+        }
+        self.passed = 0;
+        equal.min_by_key(|(_, class)| class.oldest()).map(|(&rank, _)| rank)
+    }
+
     fn take_out(&mut self, rank: Rank, tag: u64, ticket: Ticket, customer: CustomerId) {
         let Some(class) = self.classes.get_mut(&rank) else { return };
         class.remove(tag, ticket, customer);
@@ -330,7 +364,7 @@
 /// Start-time fair queueing between the customers of one class.
 #[derive(Debug, Default)]
 struct Class {
-    queue: BTreeMap<(u64, Ticket), CustomerId>,
+    queue: BTreeMap<(u64, Ticket), (CustomerId, Time)>,
     flows: BTreeMap<CustomerId, Flow>,
     lengths: BTreeSet<(u64, CustomerId)>,
     virtual_time: u64,
@@ -374,7 +408,7 @@
         rounds.max(self.lengths.len() as f64).min(self.queue.len() as f64)
     }
 
-    fn push(&mut self, ticket: Ticket, work: &Work) -> u64 {
+    fn push(&mut self, ticket: Ticket, work: &Work, now: Time) -> u64 {
         let tag = self.start_tag(work.customer);
         let weight = u64::from(work.weight.max(1));
         let flow = self.flows.entry(work.customer).or_default();
@@ -387,15 +421,20 @@
         flow.finish = tag + (WEIGHT_UNIT / flow.weight).max(1);
         flow.entries.insert((tag, ticket));
         self.lengths.insert((flow.held(), work.customer));
-        self.queue.insert((tag, ticket), work.customer);
+        self.queue.insert((tag, ticket), (work.customer, now));
         tag
     }
 
     fn first(&self) -> Option<(u64, Ticket, CustomerId)> {
-        let (&(tag, ticket), &customer) = self.queue.first_key_value()?;
+        let (&(tag, ticket), &(customer, _)) = self.queue.first_key_value()?;
         Some((tag, ticket, customer))
     }
 
+    /// Since when its next request has waited.
+    fn oldest(&self) -> Option<Time> {
+        self.queue.first_key_value().map(|(_, (_, came))| *came)
+    }
+
     /// The newest entry of the customer that holds most.
     fn victim(&self) -> Option<(Ticket, CustomerId)> {
         let &(_, customer) = self.lengths.last()?;
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -98,3 +98,46 @@
     let longest = waits.iter().max().expect("some came");
     assert!(*longest <= STEP, "one waited {longest:?}");
 }
+
+/// The load: callers ask a service for twice what it can do, beside calls of requests on which other services
+/// have already spent work. Refusing a call throws that work away; refusing new work costs nothing.
+#[test]
+fn a_surge_of_new_work_fails_no_calls_of_equal_importance() {
+    for objective_ms in [100, 300, 800] {
+        let mut guard = Guard::new(Duration::from_secs(1));
+        guard.set_slots(SLOTS);
+        let mut now = Time::from_millis(1_000);
+        let (mut calls, mut lost) = (0, Vec::new());
+        let mut waiting: BTreeMap<Ticket, Work> = BTreeMap::new();
+        for step in 0..2 * STEPS {
+            now = now + STEP;
+            let mut started = guard.finish(Held::Whole(SERVICE)).start;
+            for at in 0..2 {
+                let is_call = (2 * step + at) % 10 == 0;
+                let new = work(Importance::High, objective_ms, false, now);
+                let call = Work { deadline: now + Duration::from_millis(400), ..new };
+                let request = if is_call { Work { begun: true, ..call } } else { new };
+                calls += u32::from(is_call);
+                let (offer, released) = guard.offer(request, now);
+                started.extend(released.start);
+                match offer {
+                    Offer::Wait(ticket) => drop(waiting.insert(ticket, request)),
+                    Offer::Refuse(reason) if is_call => lost.push(reason.to_string()),
+                    Offer::Run(_) | Offer::Refuse(_) => {}
+                }
+                let shed =
+                    released.shed.into_iter().filter_map(|shed| waiting.remove(&shed.ticket));
+                lost.extend(shed.filter(|work| work.begun).map(|_| "displaced".to_owned()));
+            }
+            let started = started.into_iter().filter_map(|ticket| waiting.remove(&ticket));
+            let late = started.filter(|work| work.begun && now + SERVICE > work.deadline);
+            lost.extend(late.map(|_| "too late".to_owned()));
+        }
+        assert!(
+            lost.is_empty(),
+            "objective {objective_ms} ms: {} of {calls}: {:?}",
+            lost.len(),
+            lost.first()
+        );
+    }
+}
