--- a/examples/policy/measure.rs
+++ b/examples/policy/measure.rs
@@ -23,6 +23,8 @@
     pub goodput: f64,
     /// What callers got of the worth that they asked for during the whole trigger.
     pub worth: f64,
+    /// The same for each route that callers ask for.
+    pub routes: BTreeMap<&'static str, f64>,
     /// Seconds from the end of the trigger to 95% of what is then offered.
     pub recovery_s: f64,
     /// The worst-served customer's part of its due.
@@ -42,6 +44,7 @@
 /// What became of one request, however often its caller sent it.
 struct Outcome {
     customer: usize,
+    route: &'static str,
     importance: Importance,
     window: u64,
     /// Its work at the bottleneck, in seconds of a slot.
@@ -70,6 +73,7 @@
     Figures {
         goodput: whole / can.min(offered),
         worth: earned / owed,
+        routes: by_route(&all),
         recovery_s: recovery(&outcomes),
         worst_customer: worst_customer(&during, can, situation),
         refused_within: match situation.suffices() {
@@ -86,6 +90,17 @@
     }
 }
 
+/// What callers got of the worth that they asked for, by route.
+fn by_route(all: &[&Outcome]) -> BTreeMap<&'static str, f64> {
+    let mut sums: BTreeMap<&'static str, (f64, f64)> = BTreeMap::new();
+    for outcome in all.iter().filter(|o| !o.over_rate) {
+        let (earned, owed) = sums.entry(outcome.route).or_default();
+        *earned += outcome.earned;
+        *owed += outcome.worth;
+    }
+    sums.into_iter().map(|(route, (earned, owed))| (route, earned / owed)).collect()
+}
+
 fn outcomes(world: &World<'_>, deployment: &Deployment) -> Vec<Outcome> {
     let mut all: BTreeMap<u64, Outcome> = BTreeMap::new();
     for &(root, time, end) in &world.ended {
@@ -96,6 +111,7 @@
         let spec = &deployment.routes[request.route];
         let outcome = all.entry(request.id).or_insert_with(|| Outcome {
             customer: request.customer.index(),
+            route: spec.name,
             importance: spec.importance,
             window: request.first.as_micros() / 1_000 / WINDOW_MS,
             cost: deployment.cost(request.route),
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -26,6 +26,13 @@
 /// Over which time failures fade that are not seen again.
 const FAILURE_TIME: Duration = Duration::from_secs(2);
 
+/// How long what an answer told of load and time counts in full.
+const NEWS_TIME: Duration = Duration::from_secs(1);
+
+/// In which time half of it is forgotten after that. An instance that was slow once gets another request in the
+/// end, since nothing else can tell that it no longer is.
+const NEWS_HALF: Duration = Duration::from_secs(1);
+
 /// What is left of an instance's slots after its backend server shed by itself.
 const SHED_SLOTS: f64 = 0.5;
 
@@ -47,6 +54,7 @@
     slots: u32,
     reported: AtomicU32,
     mean_us: AtomicU32,
+    heard: AtomicU64,
     sent: AtomicU32,
     failures: Mutex<Failures>,
     failed_until: AtomicU64,
@@ -67,6 +75,7 @@
             slots: record.slots,
             reported: AtomicU32::new(0),
             mean_us: AtomicU32::new(0),
+            heard: AtomicU64::new(0),
             failures: Mutex::default(),
             sent: AtomicU32::new(0),
             failed_until: AtomicU64::new(0),
@@ -77,7 +86,8 @@
     }
 
     /// The load that came with an answer.
-    pub fn report(&self, load: Load, _now: Time) {
+    pub fn report(&self, load: Load, now: Time) {
+        self.heard.store(now.as_micros(), Ordering::Relaxed);
         self.reported.store(load.in_flight + load.queued, Ordering::Relaxed);
         self.mean_us.store(load.mean_us, Ordering::Relaxed);
     }
@@ -129,18 +139,26 @@
             slots *= SHED_SLOTS;
         }
         let sent = self.sent.load(Ordering::Relaxed);
-        let load = self.reported.load(Ordering::Relaxed).max(sent);
-        let mean = self.mean_us.load(Ordering::Relaxed);
+        // While an answer is owed, its absence is news too.
+        let known = if sent > 0 { 1.0 } else { self.known(now) };
+        let reported = f64::from(self.reported.load(Ordering::Relaxed)) * known;
+        let mean = f64::from(self.mean_us.load(Ordering::Relaxed)) * known;
         Some(Candidate {
             index,
             local: self.local,
-            load,
+            load: (reported as u32).max(sent),
             slots: (slots as u32).max(1),
-            mean: Duration::from_micros(u64::from(mean)),
+            mean: Duration::from_micros(mean as u64),
             failing: lock(&self.failures).at(now),
         })
     }
 
+    /// How much of what the last answer told still counts.
+    fn known(&self, now: Time) -> f64 {
+        let age = now.since(Time::from_micros(self.heard.load(Ordering::Relaxed)));
+        0.5_f64.powf(age.saturating_sub(NEWS_TIME).as_secs_f64() / NEWS_HALF.as_secs_f64())
+    }
+
     fn ramp(&self, ramp: Duration, now: Time) -> f64 {
         // What was there when this daemon started is not new.
         if ramp.is_zero() || self.ready.as_micros() < ramp.as_micros() as u64 {
