Deliver an early answer before the rest of a long body is written

What callers saw: a backend server that answers an upload before it has read the body and reads on later held the answer back until then.

Cause: after the answer, the daemon waited until the connection could take another request, and hyper says so only once the body is written.

Evidence: an_early_answer_is_delivered_and_its_connection_kept_apart failed (no answer within 5 s).

Change: a connection whose request had a long body returns to the pool in a task of its own, once the body is written. The test also checks that no other request's bytes come before the rest of the body.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -7,12 +7,13 @@
 //! connection whose last use is at most `MAX_REUSE_AGE` ago.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderName, StatusCode};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -35,6 +36,10 @@
 /// millisecond.
 const MAX_REUSE_AGE: Duration = Duration::from_millis(250);
 
+/// Length of a request body, in bytes, from which the backend server may answer before the body has been
+/// written. Shorter ones fit into the buffers of a connection.
+const LONG_BODY_BYTES: u64 = 64 << 10;
+
 /// The header in which a backend server announces its idle time-out.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -53,7 +58,7 @@
 #[derive(Debug)]
 pub struct Connections {
     clock: Clock,
-    idle: Mutex<Vec<Idle>>,
+    idle: Arc<Mutex<Vec<Idle>>>,
 }
 
 #[derive(Debug)]
@@ -67,7 +72,7 @@
 impl Connections {
     /// Creates an empty pool.
     pub fn new(clock: Clock) -> Self {
-        Self { clock, idle: Mutex::default() }
+        Self { clock, idle: Arc::default() }
     }
 
     /// Sends a request and reads its whole answer, whose body may have up to `limit` bytes. With
@@ -84,13 +89,18 @@
         request: Request,
         may_resend: bool,
         limit: u64,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), RequestError> {
+    ) -> Result<WholeAnswer, RequestError> {
         let mut request = request;
+        let has_long_body = request.body().size_hint().lower() >= LONG_BODY_BYTES;
         // An idle connection may have just been closed. hyper then returns the request unsent.
         while let Some(mut sender) = self.take(address, may_resend) {
             let copy = may_resend.then(|| request.clone());
             match sender.try_send_request(request).await {
-                Ok(response) => return self.read_answer(address, sender, response, limit).await,
+                Ok(response) => {
+                    let (answer, sender) = read_answer(sender, response, limit).await?;
+                    self.keep(address, sender, &answer.1, has_long_body).await;
+                    return Ok(answer);
+                }
                 Err(mut error) => match error.take_message().or(copy) {
                     Some(unsent) => request = unsent,
                     None => return Err(RequestError::Broken(message::error_chain(error.error()))),
@@ -99,7 +109,11 @@
         }
         let mut sender = connect(address).await.map_err(RequestError::Unsent)?;
         match sender.try_send_request(request).await {
-            Ok(response) => self.read_answer(address, sender, response, limit).await,
+            Ok(response) => {
+                let (answer, sender) = read_answer(sender, response, limit).await?;
+                self.keep(address, sender, &answer.1, has_long_body).await;
+                Ok(answer)
+            }
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(RequestError::Unsent(message::error_chain(error.error()))),
                 None => Err(RequestError::Broken(message::error_chain(error.error()))),
@@ -107,21 +121,31 @@
         }
     }
 
-    async fn read_answer(
+    /// Returns a connection to the pool, unless the `headers` of its answer say that it closes. The
+    /// backend server may have answered before it has read a long body; the connection then returns to
+    /// the pool once it has, and the answer does not wait for that.
+    async fn keep(
         &self,
         address: SocketAddr,
         mut sender: SendRequest<Full<Bytes>>,
-        response: http::Response<Incoming>,
-        limit: u64,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), RequestError> {
-        let (parts, body) = response.into_parts();
-        let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
-        if !closes_connection(&parts.headers) && sender.ready().await.is_ok() {
-            let last_used = self.clock.now();
-            let expires = last_used + idle_timeout(&parts.headers);
-            lock(&self.idle).push(Idle { address, sender, last_used, expires });
+        headers: &HeaderMap,
+        has_long_body: bool,
+    ) {
+        if closes_connection(headers) {
+            return;
+        }
+        let (clock, idle) = (self.clock, Arc::clone(&self.idle));
+        let timeout = idle_timeout(headers);
+        let returned = async move {
+            if sender.ready().await.is_ok() {
+                let last_used = clock.now();
+                lock(&idle).push(Idle { address, sender, last_used, expires: last_used + timeout });
+            }
+        };
+        match has_long_body {
+            true => drop(tokio::spawn(returned)),
+            false => returned.await,
         }
-        Ok((parts.status, parts.headers, body))
     }
 
     /// Removes and returns the most recently used connection that is still usable. Without
@@ -138,6 +162,19 @@
     }
 }
 
+/// An answer with its whole body.
+type WholeAnswer = (StatusCode, HeaderMap, Bytes);
+
+async fn read_answer(
+    sender: SendRequest<Full<Bytes>>,
+    response: http::Response<Incoming>,
+    limit: u64,
+) -> Result<(WholeAnswer, SendRequest<Full<Bytes>>), RequestError> {
+    let (parts, body) = response.into_parts();
+    let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
+    Ok(((parts.status, parts.headers, body), sender))
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     stream.set_nodelay(true).map_err(|error| error.to_string())?;
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -1,4 +1,5 @@
-//! Reuse of idle connections that the backend server drops without closing them first.
+//! Reuse of connections that the backend server drops without closing them first, and of those on which
+//! it answers early.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +10,8 @@
 use gypsumtack::connection::{Connections, RequestError};
 use gypsumtack::message::Request;
 use gypsumtack::time::Clock;
+use http::header::HOST;
+use http::{HeaderValue, Method};
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -16,6 +19,9 @@
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const LIMIT: u64 = 1_000;
 
+/// Time within which an answer has to arrive.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Starts a backend server that answers the first request of each connection, and closes the connection
 /// without an answer at the second one. Returns its address and the number of closed connections.
 async fn start_dropping_backend() -> (SocketAddr, Arc<AtomicU32>) {
@@ -86,3 +92,50 @@
     assert!(matches!(error, RequestError::Broken(_)), "{error:?}");
     assert_eq!(dropped.load(Ordering::Relaxed), 1);
 }
+
+/// A backend server may answer before it has read a long body, keep the connection, and read on later.
+/// The answer must not wait for that, and no other request's bytes may follow on that connection before
+/// the rest of the body.
+#[tokio::test]
+async fn an_early_answer_is_delivered_and_its_connection_kept_apart() {
+    let backend = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = backend.local_addr().unwrap();
+    let length = 32 << 20;
+    let serving = tokio::spawn(async move {
+        let (mut early, _) = backend.accept().await.unwrap();
+        let mut part = vec![0; 4 << 10];
+        let mut received = early.read(&mut part).await.unwrap();
+        early.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nearly").await.unwrap();
+        let (mut other, _) = backend.accept().await.unwrap();
+        assert!(other.read(&mut part).await.unwrap() > 0);
+        other.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother").await.unwrap();
+        // The rest of the long body is read only now.
+        let mut buffer = vec![0; 1 << 20];
+        while received < length {
+            let read = early.read(&mut buffer).await.unwrap();
+            assert!(read > 0, "the connection closed after {received} bytes of the body");
+            received += read;
+            assert!(
+                !buffer[..read].windows(3).any(|text| text == b"GET"),
+                "another request follows"
+            );
+        }
+    });
+    let connections = Connections::new(Clock::start());
+    let request = |method: Method, body: Vec<u8>| {
+        let mut request = http::Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = method;
+        request.headers_mut().insert(HOST, HeaderValue::from_static("x"));
+        request
+    };
+    for (request, expected) in [
+        (request(Method::POST, vec![b'v'; length]), "early"),
+        (request(Method::GET, Vec::new()), "other"),
+    ] {
+        let answer = connections.send_request(address, request, false, 100);
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        let (_, _, body) = answer.expect("the answer waits for the body").unwrap();
+        assert_eq!(body, expected);
+    }
+    serving.await.unwrap();
+}
