Read long bodies to their end, within bounded memory

Cause: a body was only taken out of a connection's input buffer when all of it was there, and from 64 KiB on that buffer was not filled any more. A longer body with a content-length was never complete.

Change: bodies are taken out of the input as they arrive. Those over 64 KiB first reserve their memory out of `limits.body_memory` (32 MiB); while there is none the connection is not read, so that TCP holds the caller back. A body of unknown length reserves a MiB, and more from a pool of its own, so that no two bodies wait for each other. A body whose next part does not come within `header_ms`, or that is not whole within `idle_ms`, is refused as not run (408, slow-body); a slow chunked body escaped both before. The time that a body took counts towards the request's deadline. Trailers are bounded in total, and `100 Continue` is sent once earlier requests are answered (it never came behind a pending one).

--- a/benches/listener.rs
+++ b/benches/listener.rs
@@ -92,7 +92,7 @@
 async fn start_own(completed: Arc<AtomicU32>, stop: watch::Receiver<bool>) -> SocketAddr {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
-    let handler = move |request_id, _: Message| {
+    let handler = move |request_id, _: Message, _| {
         let completed = Arc::clone(&completed);
         async move {
             tokio::time::sleep(HANDLER_TIME).await;
--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -5,8 +5,8 @@
 /// Maximum length of a chunk's size line, including extensions, in bytes.
 const MAX_SIZE_LINE_BYTES: usize = 256;
 
-/// Maximum unterminated length of a trailer line, in bytes. Trailers are read and dropped.
-const MAX_TRAILER_LINE_BYTES: usize = 8 << 10;
+/// Maximum length of all trailer lines of a body, in bytes. Trailers are read and dropped.
+const MAX_TRAILER_BYTES: usize = 8 << 10;
 
 /// Why a body cannot be decoded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,6 +22,8 @@
 pub struct ChunkedDecoder {
     body: BytesMut,
     state: State,
+    /// Length of the trailer lines that were read.
+    trailers: usize,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -38,6 +40,11 @@
 }
 
 impl ChunkedDecoder {
+    /// Returns the number of bytes of the body that were decoded so far.
+    pub fn decoded(&self) -> usize {
+        self.body.len()
+    }
+
     /// Consumes as much of `input` as possible. Returns the body once it is complete, or `None` if more
     /// input is needed. `limit` is the maximum size of the body in bytes.
     ///
@@ -83,11 +90,14 @@
                     self.state = State::Size;
                 }
                 State::Trailers => {
-                    let Some(end) = input.windows(2).position(|pair| pair == b"\r\n") else {
-                        let too_long = input.len() > MAX_TRAILER_LINE_BYTES;
-                        return if too_long { Err(ChunkError::Malformed) } else { Ok(None) };
-                    };
-                    input.advance(end + 2);
+                    let end = input.windows(2).position(|pair| pair == b"\r\n");
+                    let length = end.map_or(input.len(), |end| end + 2);
+                    if self.trailers + length > MAX_TRAILER_BYTES {
+                        return Err(ChunkError::Malformed);
+                    }
+                    let Some(end) = end else { return Ok(None) };
+                    input.advance(length);
+                    self.trailers += length;
                     if end == 0 {
                         return Ok(Some(self.body.split().freeze()));
                     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -266,7 +266,8 @@
         let operators = ListenerTask { stop, task: tokio::spawn(serving) };
         let own = Arc::clone(shared);
         let callers = ListenerTask::open(|stop| {
-            let handler = move |id, message| entry::handle(Arc::clone(&own), id, message);
+            let handler =
+                move |id, message, waited| entry::handle(Arc::clone(&own), id, message, waited);
             let state = Arc::clone(shared);
             let bounds = move || bounds(&state, state.board.settings.limits.caller_connections);
             let board = Arc::clone(&shared.board);
@@ -295,6 +296,7 @@
         connections,
         header_bytes: limits.header_bytes,
         body_bytes: usize::try_from(request_bytes).unwrap_or(usize::MAX),
+        body_memory: limits.body_memory,
         header_timeout: limits.header_timeout(),
         idle_timeout: limits.idle_timeout(),
         stop_timeout: Duration::from_millis(limits.stop_ms).saturating_sub(FINAL_ANSWER_TIME),
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -1,6 +1,7 @@
 //! Downstream calls that the local backend server makes for the requests that it is running.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::body::Incoming;
 
@@ -43,7 +44,7 @@
         // A call on an open route needs no token; it enters like a request of a caller.
         None if route.is_some_and(|route| route.open) => {
             let id = dialect.read_request_id(&message.headers);
-            crate::entry::handle(Arc::clone(&shared), id, message).await
+            crate::entry::handle(Arc::clone(&shared), id, message, Duration::ZERO).await
         }
         None => {
             let request = RequestId::random(&mut rand::rng());
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,11 +33,17 @@
 /// Maximum length of an unmatched path in the text of its refusal, in characters.
 const MAX_PATH_CHARS: usize = 100;
 
-/// Answers a request of a caller. `id` is its request id.
-pub async fn handle(shared: Arc<Shared>, id: RequestId, mut message: Message) -> Answer {
+/// Answers a request of a caller. `id` is its request id, and `waited` the time since its head arrived,
+/// which counts towards its deadline.
+pub async fn handle(
+    shared: Arc<Shared>,
+    id: RequestId,
+    mut message: Message,
+    waited: Duration,
+) -> Answer {
     let board = &shared.board;
     let _in_flight = InFlight::count(board);
-    let start = board.clock.now();
+    let start = board.clock.now() - waited;
     let policy = board.policy.load_full();
     let timeout = caller_timeout(&shared.dialect, &message.headers);
     let deadline = timeout.map_or(Time::MAX, |timeout| start + timeout);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod announcement;
 pub mod backend;
 pub mod board;
+pub mod body;
 pub mod breaker;
 pub mod bucket;
 pub mod chunked;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -10,16 +10,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
+use futures::future::BoxFuture;
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, Method, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::chunked::{ChunkError, ChunkedDecoder};
+use crate::body::{BodyMemory, BodyReader, Progress, Reservation, UNRESERVED_BYTES};
+use crate::chunked::ChunkError;
 use crate::dialect::Dialect;
 use crate::envelope::RequestId;
 use crate::head::{Framing, Head, Malformed};
@@ -33,7 +35,7 @@
 const MAX_CONCURRENT: usize = 32;
 
 /// Size of the input buffer, in bytes, from which no more is read ahead of the running requests.
-const READ_AHEAD_BYTES: usize = 64 << 10;
+const READ_AHEAD_BYTES: usize = UNRESERVED_BYTES;
 
 /// Size of the output buffer, in bytes, from which no more answers are added. Further answers stay in
 /// their tasks.
@@ -49,7 +51,7 @@
 /// The callbacks of the listener.
 #[derive(Debug, Clone)]
 pub struct Hooks<H, B, D> {
-    /// Answers one request.
+    /// Answers one request. Its last argument is the time since the head of the request was read.
     pub handler: H,
     /// Returns the limits. They are queried for each request, since they may change with the document.
     pub bounds: B,
@@ -75,32 +77,33 @@
     mut stop: watch::Receiver<bool>,
     hooks: Hooks<H, B, D>,
 ) where
-    H: Fn(RequestId, Message) -> F + Clone + Send + Sync + 'static,
+    H: Fn(RequestId, Message, Duration) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds + Clone + Send + Sync + 'static,
     D: Fn(Delivery<'_>) + Clone + Send + Sync + 'static,
 {
     let dialect = Arc::new(dialect);
-    let max_connections = (hooks.bounds)().connections;
+    let Bounds { connections: max_connections, body_memory, .. } = (hooks.bounds)();
+    let memory = BodyMemory::new(body_memory);
     let slots = Arc::new(Semaphore::new(max_connections));
     while let Some(stream) = accept(&listener, &mut stop).await {
         let (stop, dialect) = (stop.clone(), Arc::clone(&dialect));
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             let limit = max_connections as u64;
-            let handler = move |id, message: Message| async move {
+            let handler = move |id, message: Message, _| async move {
                 drop(message);
                 Answer::not_run(id, Reason::TooManyConnections { limit })
             };
             let Hooks { bounds, on_delivery, .. } = hooks.clone();
             let refusing_hooks = Hooks { handler, bounds, on_delivery };
-            let mut connection = Connection::new(stream, dialect, refusing_hooks);
+            let mut connection = Connection::new(stream, dialect, memory.clone(), refusing_hooks);
             connection.single_request = true;
             tokio::spawn(async move {
                 let _ = tokio::time::timeout(REFUSAL_TIMEOUT, connection.run(stop)).await;
             });
             continue;
         };
-        let connection = Connection::new(stream, dialect, hooks.clone());
+        let connection = Connection::new(stream, dialect, memory.clone(), hooks.clone());
         tokio::spawn(async move {
             connection.run(stop).await;
             drop(slot);
@@ -126,6 +129,7 @@
     single_request: bool,
     /// Whether reading has ended. The connection closes after the pending answers.
     read_closed: bool,
+    memory: BodyMemory,
     dialect: Arc<Dialect>,
     hooks: Hooks<H, B, D>,
 }
@@ -135,15 +139,35 @@
     /// Its head is not complete; what has arrived of it is in the input buffer.
     Head,
     /// Its body is not complete.
-    Body(Box<Head>, Body),
+    Body(Box<PartialRequest>),
     /// It is complete, and starts once all earlier requests have been answered.
-    Complete(Message),
+    Complete(Box<CompleteRequest>),
 }
 
-/// How the rest of a body is read.
-enum Body {
-    Length(usize),
-    Chunks(ChunkedDecoder),
+/// A request whose body is not complete.
+struct PartialRequest {
+    head: Head,
+    body: BodyReader,
+    /// When the head was complete.
+    received: Time,
+    /// Whether the caller still has to be told to send the body.
+    continue_due: bool,
+    /// The memory that the body needs next. Until it is available, the connection is not read.
+    wanted: Option<WantedMemory>,
+}
+
+/// Memory for a body that is not available yet.
+struct WantedMemory {
+    bytes: usize,
+    reservation: BoxFuture<'static, Reservation>,
+}
+
+/// A request that can start.
+struct CompleteRequest {
+    message: Message,
+    received: Time,
+    /// The memory of the body, held until the request is answered.
+    reservations: Vec<OwnedSemaphorePermit>,
 }
 
 /// A request whose answer has not been written yet.
@@ -161,6 +185,8 @@
     Read(std::io::Result<usize>),
     /// Output was written.
     Written(std::io::Result<usize>),
+    /// The memory for the body that is being read was reserved.
+    Reserved(Reservation),
     /// The oldest pending request ended, without an answer if its task failed.
     Answered(Option<Box<(Answer, Time)>>),
     /// The listener was told to stop.
@@ -173,12 +199,17 @@
 
 impl<H, F, B, D> Connection<H, B, D>
 where
-    H: Fn(RequestId, Message) -> F,
+    H: Fn(RequestId, Message, Duration) -> F,
     F: Future<Output = Answer> + Send + 'static,
     B: Fn() -> Bounds,
     D: Fn(Delivery<'_>),
 {
-    fn new(stream: TcpStream, dialect: Arc<Dialect>, hooks: Hooks<H, B, D>) -> Self {
+    fn new(
+        stream: TcpStream,
+        dialect: Arc<Dialect>,
+        memory: BodyMemory,
+        hooks: Hooks<H, B, D>,
+    ) -> Self {
         let (reader, writer) = stream.into_split();
         Self {
             clock: Clock::start(),
@@ -191,6 +222,7 @@
             previous: None,
             single_request: false,
             read_closed: false,
+            memory,
             dialect,
             hooks,
         }
@@ -208,15 +240,30 @@
             if idle && (self.read_closed || stopping) {
                 break;
             }
-            let may_read = !self.read_closed && !stopping && self.input.len() < READ_AHEAD_BYTES;
+            let may_read = !self.read_closed
+                && !stopping
+                && self.input.len() < READ_AHEAD_BYTES
+                && !self.awaits_memory();
             let starts_request = idle && self.input.is_empty();
+            let receives_body = matches!(self.read_state, ReadState::Body(_));
             let event = self
                 .next_event(&mut stop, may_read, stopping.then_some(stop_deadline), last_progress)
                 .await;
             match event {
-                Event::Read(Ok(0) | Err(_)) | Event::Written(Err(_)) | Event::TimedOut => return,
-                Event::Read(Ok(_)) if starts_request => last_progress = self.clock.now(),
+                Event::Read(Ok(0) | Err(_)) | Event::Written(Err(_)) => return,
+                Event::TimedOut if receives_body && !self.read_closed => {
+                    last_progress = self.clock.now();
+                    self.refuse_slow_body();
+                }
+                Event::TimedOut => return,
+                Event::Read(Ok(_)) if starts_request || receives_body => {
+                    last_progress = self.clock.now();
+                }
                 Event::Read(Ok(_)) => {}
+                Event::Reserved(reservation) => {
+                    last_progress = self.clock.now();
+                    self.grant_memory(reservation);
+                }
                 Event::Written(Ok(_)) => last_progress = self.clock.now(),
                 Event::Answered(answer) => {
                     last_progress = self.clock.now();
@@ -243,11 +290,13 @@
         last_progress: Time,
     ) -> Event {
         let bounds = (self.hooks.bounds)();
+        let body_timeout = self.body_timeout(bounds, last_progress);
         let timeout = match (self.output.is_empty(), self.input.is_empty(), self.queue.is_empty()) {
             (false, ..) => Some(WRITE_TIMEOUT),
+            (true, _, false) => None,
+            (true, ..) if body_timeout.is_some() => body_timeout,
             (true, false, true) => Some(bounds.header_timeout),
             (true, true, true) => Some(bounds.idle_timeout),
-            (true, _, false) => None,
         };
         let may_answer = !self.queue.is_empty() && self.output.len() < WRITE_AHEAD_BYTES;
         let front = self.queue.front_mut();
@@ -257,6 +306,15 @@
                 None => None,
             }
         };
+        let reserved = async {
+            match &mut self.read_state {
+                ReadState::Body(partial) => match &mut partial.wanted {
+                    Some(wanted) => (&mut wanted.reservation).await,
+                    None => std::future::pending().await,
+                },
+                ReadState::Head | ReadState::Complete(_) => std::future::pending().await,
+            }
+        };
         let clock = self.clock;
         let timed_out = async {
             match timeout {
@@ -266,6 +324,7 @@
         };
         tokio::select! {
             read = self.reader.read_buf(&mut self.input), if may_read => Event::Read(read),
+            reservation = reserved => Event::Reserved(reservation),
             answer = answered, if may_answer => Event::Answered(answer),
             written = self.writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                 Event::Written(written)
@@ -295,17 +354,17 @@
                     Ok(None) => return,
                     Err(Malformed(problem)) => return self.refuse(Reason::BadRequest { problem }),
                 },
-                ReadState::Body(head, body) => {
-                    if !self.read_body(head, body, bounds) {
+                ReadState::Body(partial) => {
+                    if !self.read_body(partial, bounds) {
                         return;
                     }
                 }
-                ReadState::Complete(message) => {
+                ReadState::Complete(request) => {
                     if !self.queue.is_empty() {
-                        self.read_state = ReadState::Complete(message);
+                        self.read_state = ReadState::Complete(request);
                         return;
                     }
-                    self.start(message);
+                    self.start(*request);
                 }
             }
         }
@@ -320,67 +379,120 @@
             let problem = format!("the request's head has {size} bytes and may have {limit}");
             return self.refuse(Reason::BadRequest { problem });
         }
-        let body = match head.framing {
-            Framing::Length(length) if length > bounds.body_bytes => {
-                return self.refuse(too_large(bounds));
-            }
-            Framing::Length(length) => Body::Length(length),
-            Framing::Chunks => Body::Chunks(ChunkedDecoder::default()),
-        };
-        if head.expects_continue && self.queue.is_empty() {
-            self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        if matches!(head.framing, Framing::Length(length) if length > bounds.body_bytes) {
+            return self.refuse(too_large(bounds));
         }
-        self.read_state = ReadState::Body(Box::new(head), body);
+        self.read_state = ReadState::Body(Box::new(PartialRequest {
+            body: BodyReader::new(head.framing),
+            continue_due: head.expects_continue,
+            received: self.clock.now(),
+            wanted: None,
+            head,
+        }));
     }
 
     /// Reads the body from the input. Returns whether it is complete.
-    fn read_body(&mut self, head: Box<Head>, body: Body, bounds: Bounds) -> bool {
-        let complete_body = match body {
-            Body::Length(length) if self.input.len() < length => {
-                self.input.reserve(length - self.input.len());
-                self.read_state = ReadState::Body(head, Body::Length(length));
-                return false;
+    fn read_body(&mut self, mut partial: Box<PartialRequest>, bounds: Bounds) -> bool {
+        if partial.wanted.is_some() {
+            self.read_state = ReadState::Body(partial);
+            return false;
+        }
+        match partial.body.read(&mut self.input, bounds.body_bytes) {
+            Ok(Progress::Complete(body, reservations)) => {
+                self.complete_request(*partial, body, reservations);
+                return true;
             }
-            Body::Length(length) => self.input.split_to(length).freeze(),
-            Body::Chunks(mut decoder) => match decoder.decode(&mut self.input, bounds.body_bytes) {
-                Ok(Some(complete_body)) => complete_body,
-                Ok(None) => {
-                    self.read_state = ReadState::Body(head, Body::Chunks(decoder));
-                    return false;
-                }
-                Err(ChunkError::TooLarge) => {
-                    self.refuse(too_large(bounds));
-                    return false;
+            Ok(Progress::Input) => {
+                // The answers of earlier requests come before this one's `100 Continue`.
+                if partial.continue_due && self.queue.is_empty() {
+                    partial.continue_due = false;
+                    self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
-                Err(ChunkError::Malformed) => {
-                    let problem = "the body's chunks are malformed".to_owned();
-                    self.refuse(Reason::BadRequest { problem });
-                    return false;
-                }
-            },
-        };
+            }
+            Ok(Progress::Memory(bytes)) => {
+                let reservation = self.memory.reserve(bytes);
+                partial.wanted = Some(WantedMemory { bytes, reservation });
+            }
+            Err(ChunkError::TooLarge) => {
+                self.refuse(too_large(bounds));
+                return false;
+            }
+            Err(ChunkError::Malformed) => {
+                let problem = "the body's chunks are malformed".to_owned();
+                self.refuse(Reason::BadRequest { problem });
+                return false;
+            }
+        }
+        self.read_state = ReadState::Body(partial);
+        false
+    }
+
+    fn complete_request(
+        &mut self,
+        partial: PartialRequest,
+        body: Bytes,
+        reservations: Vec<OwnedSemaphorePermit>,
+    ) {
+        let PartialRequest { head, received, .. } = partial;
         self.read_closed |= head.closes || self.single_request;
-        let Head { method, uri, headers, .. } = *head;
-        let message = Message { method, uri, headers, body: complete_body };
+        let Head { method, uri, headers, .. } = head;
+        let message = Message { method, uri, headers, body };
+        let request = CompleteRequest { message, received, reservations };
         // A request with an unsafe method starts only after all earlier requests have been answered,
         // since its caller sent it without having seen their answers.
-        if message.method.is_safe() || self.queue.is_empty() {
-            self.start(message);
+        if request.message.method.is_safe() || self.queue.is_empty() {
+            self.start(request);
         } else {
-            self.read_state = ReadState::Complete(message);
+            self.read_state = ReadState::Complete(Box::new(request));
         }
-        true
     }
 
-    fn start(&mut self, message: Message) {
+    fn start(&mut self, request: CompleteRequest) {
+        let CompleteRequest { message, received, reservations } = request;
         let bodiless = message.method == Method::HEAD;
         let id = self.dialect.read_request_id(&message.headers);
-        let (handling, clock) = ((self.hooks.handler)(id.clone(), message), self.clock);
-        let task = tokio::spawn(async move { (handling.await, clock.now()) });
+        let (clock, waited) = (self.clock, self.clock.now().since(received));
+        let handling = (self.hooks.handler)(id.clone(), message, waited);
+        let task = tokio::spawn(async move {
+            let answer = handling.await;
+            drop(reservations);
+            (answer, clock.now())
+        });
         let task = AbortOnDropHandle::new(task);
         self.queue.push_back(Pending { id, task, bodiless });
     }
 
+    /// Whether the body that is being read waits for memory.
+    fn awaits_memory(&self) -> bool {
+        matches!(&self.read_state, ReadState::Body(partial) if partial.wanted.is_some())
+    }
+
+    fn grant_memory(&mut self, reservation: Reservation) {
+        if let ReadState::Body(partial) = &mut self.read_state {
+            let wanted = partial.wanted.take();
+            partial.body.grant(wanted.map_or(0, |wanted| wanted.bytes), reservation);
+        }
+    }
+
+    /// The time after `last_progress` at which the body that is being read is given up: its next part
+    /// has to arrive within the timeout of a head, and the whole within that of an idle connection.
+    fn body_timeout(&self, bounds: Bounds, last_progress: Time) -> Option<Duration> {
+        let ReadState::Body(partial) = &self.read_state else { return None };
+        if partial.wanted.is_some() {
+            return Some(bounds.idle_timeout);
+        }
+        let end = partial.received + bounds.idle_timeout;
+        Some(bounds.header_timeout.min(end.since(last_progress)))
+    }
+
+    fn refuse_slow_body(&mut self) {
+        let ReadState::Body(partial) = &self.read_state else { return };
+        let waited = self.clock.now().since(partial.received);
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+        self.read_state = ReadState::Head;
+        self.refuse(Reason::SlowBody { waited_ms });
+    }
+
     /// Refuses a request that cannot be read. The start of the next one cannot be found after it, so
     /// the connection closes.
     fn refuse(&mut self, reason: Reason) {
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -119,6 +119,11 @@
         /// What is wrong, with the limit that was exceeded.
         problem: String,
     },
+    /// The body of the request did not arrive in time.
+    SlowBody {
+        /// Time since the head of the request arrived.
+        waited_ms: u64,
+    },
     /// This failure domain has been isolated for longer than the document allows.
     Isolated {
         /// How long it has been isolated, in seconds.
@@ -176,6 +181,7 @@
             Self::ClaimUnknown => "claim-unknown",
             Self::ClaimPending => "claim-pending",
             Self::BadRequest { .. } => "bad-request",
+            Self::SlowBody { .. } => "slow-body",
             Self::Isolated { .. } => "isolated",
             Self::Shed { .. } => "shed",
             Self::Shedding => "shedding",
@@ -208,6 +214,7 @@
             Self::UnknownRoute { .. } => StatusCode::NOT_FOUND,
             Self::OverRate { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::MissingIdempotencyKey | Self::BadRequest { .. } => StatusCode::BAD_REQUEST,
+            Self::SlowBody { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::IdempotencyMismatch => StatusCode::UNPROCESSABLE_ENTITY,
             Self::ClaimUnknown | Self::ClaimPending => StatusCode::CONFLICT,
             Self::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
@@ -251,6 +258,7 @@
             | Self::BadAnswer { .. }
             | Self::Crashed
             | Self::SuspectRuns
+            | Self::SlowBody { .. }
             | Self::TooManyConnections { .. } => Some(Duration::from_secs(1)),
             _ => None,
         }
@@ -358,6 +366,11 @@
                 "the first request with this idempotency key is still running; ask again later"
             ),
             Self::BadRequest { problem } => write!(f, "{problem}"),
+            Self::SlowBody { waited_ms } => write!(
+                f,
+                "the body did not arrive within {waited_ms} ms and the request was not run; send it again \
+                 over a faster connection"
+            ),
             Self::Isolated { seconds } => write!(
                 f,
                 "this failure domain has been cut off for {seconds} s, longer than \
--- a/src/server.rs
+++ b/src/server.rs
@@ -44,6 +44,8 @@
     pub header_bytes: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// Maximum memory for the long bodies of all connections together, in bytes.
+    pub body_memory: usize,
     /// Timeout for receiving a request.
     pub header_timeout: Duration,
     /// Timeout for an idle connection.
@@ -59,6 +61,7 @@
             connections,
             header_bytes: 64 << 10,
             body_bytes: 64 << 20,
+            body_memory: 64 << 20,
             header_timeout: Duration::from_secs(30),
             idle_timeout: Duration::from_secs(30),
             stop_timeout: Duration::from_secs(30),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,9 @@
 /// Minimum length of a secret.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Minimum of `limits.body_memory`, in bytes: with less, long bodies arrive one after the other.
+const MIN_BODY_MEMORY: usize = 2 << 20;
+
 /// The settings of one daemon.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -96,9 +99,13 @@
     pub egress_connections: usize,
     /// Maximum size of a request head, in bytes.
     pub header_bytes: usize,
-    /// Timeout for the arrival of a request head, in milliseconds.
+    /// Maximum memory for the long bodies of callers' requests together, in bytes. While it is used up,
+    /// connections with further long bodies are not read.
+    pub body_memory: usize,
+    /// Timeout for the arrival of a request head, and for the next part of a body, in milliseconds.
     pub header_ms: u64,
-    /// Idle timeout of a caller's connection, in milliseconds.
+    /// Idle timeout of a caller's connection, and timeout for the arrival of a whole body, in
+    /// milliseconds.
     pub idle_ms: u64,
     /// How long a graceful shutdown waits for peers to be notified, in milliseconds.
     pub leave_ms: u64,
@@ -114,6 +121,7 @@
             peer_connections: 4_000,
             egress_connections: 1_000,
             header_bytes: 32 << 10,
+            body_memory: 32 << 20,
             header_ms: 5_000,
             idle_ms: 60_000,
             leave_ms: 2_000,
@@ -190,6 +198,11 @@
             let problem = format!("it is {}", self.limits.threads);
             return Err(error("limits.threads", problem, "set it between 1 and 64"));
         }
+        if self.limits.body_memory < MIN_BODY_MEMORY {
+            let problem = format!("it is {}", self.limits.body_memory);
+            let remedy = format!("set it to {MIN_BODY_MEMORY} bytes or more");
+            return Err(error("limits.body_memory", problem, &remedy));
+        }
         let has_none = self.fleet.secrets.is_empty() && !self.fleet.open;
         if has_none || self.fleet.secrets.len() > 2 {
             let problem = format!("there are {} secrets", self.fleet.secrets.len());
--- a/tests/pipeline.rs
+++ b/tests/pipeline.rs
@@ -22,7 +22,7 @@
     let address = listener.local_addr().unwrap();
     let (stop, stopped) = watch::channel(false);
     let bounds = move || Bounds { stop_timeout, ..Bounds::internal(10) };
-    let handler = async |id, message: Message| {
+    let handler = async |id, message: Message, _| {
         if message.uri.path() == "/stuck" {
             std::future::pending::<()>().await;
         }
@@ -83,7 +83,7 @@
     let address = listener.local_addr().unwrap();
     let (_stop, stopped) = watch::channel(false);
     let ready = Arc::new(Notify::new());
-    let handler = move |id: RequestId, message: Message| {
+    let handler = move |id: RequestId, message: Message, _| {
         let ready = Arc::clone(&ready);
         async move {
             match message.uri.path() {
