Refuse by what all customers of a class ask for, and by what all instances show

Cause, in two halves. An entry kept a rate for each customer and route over 200 ms and refused by these rates; with 87 entries a customer sends one entry a request every seven seconds, so the customer of the next request had none. And the daemon that answers for a service saw the queue of its own instance only: while that one was idle, it saw room, however full the others were.

Change: - Demand counts requests over 200 ms, 1 s and 5 s.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,25 +9,27 @@
 use std::collections::BTreeMap;
 
 use crate::document::{CustomerId, Importance};
-use crate::overload::MAX_REFUSED_SHARE;
+use crate::overload::PROBE_SHARE;
 
 /// Requests that cost less than this share of the mean cost in their class are not refused.
 const MIN_RELATIVE_COST: f64 = 0.1;
 
-/// Requests of one customer on one route, as they are offered at this entry.
+/// Requests of one customer on one route, as they are offered at this entry, or those of all customers
+/// of one rank that are seen too rarely to be distinguished.
 #[derive(Debug, Clone)]
 pub struct Flow {
     /// Index of the route in the policy's list of routes.
     pub route: usize,
-    /// The customer that sends them; `None` on routes open to all.
+    /// The customer that sends them; `None` for all others of this rank together, including callers
+    /// without a customer.
     pub customer: Option<CustomerId>,
-    /// Weight of the customer in the division of capacity.
+    /// Weight of the customer, or of all of them together, in the division of capacity.
     pub weight: f64,
     /// Rank of the customer; the lowest number is refused last.
     pub rank: u8,
     /// Importance of the route.
     pub importance: Importance,
-    /// Requests per second, refused ones included.
+    /// Requests per second, refused ones included. Only the ratios between flows matter here.
     pub rate: f64,
     /// Cost of one request at each service, in seconds of a slot.
     pub work: BTreeMap<String, f64>,
@@ -48,8 +50,7 @@
     for (service, excess_share) in overloaded {
         shed_for_service(flows, service, f64::from(excess_share), &mut admitted);
     }
-    let share = |admitted: f64| (1.0 - admitted).min(f64::from(MAX_REFUSED_SHARE)) as f32;
-    admitted.into_iter().map(share).collect()
+    admitted.into_iter().map(|admitted| (1.0 - admitted) as f32).collect()
 }
 
 /// Lowers the admitted shares of flows to remove the excess work at one service.
@@ -68,14 +69,15 @@
             classes.entry((flow.importance, flow.rank)).or_default().push(member);
         }
     }
-    let mut excess = admitted_work - (1.0 - excess_share) * offered_work;
+    let kept = (1.0 - excess_share) * offered_work;
+    let mut excess = admitted_work - kept;
     for members in classes.values_mut().rev() {
         if excess <= 0.0 {
             break;
         }
         exclude_cheap(members);
         let total: f64 = members.iter().map(|member| member.work).sum();
-        let cut = excess.min(total * f64::from(MAX_REFUSED_SHARE));
+        let cut = excess.min((total - PROBE_SHARE * kept).max(0.0));
         for (index, share) in divide_cut(members, total, cut) {
             admitted[index] *= 1.0 - share;
         }
@@ -115,7 +117,7 @@
     let limit = fair_limit(customers.values().copied().collect(), total - cut);
     let share = |member: &FlowWork| {
         let (work, weight) = customers[&member.customer];
-        let share = (1.0 - limit * weight / work).clamp(0.0, f64::from(MAX_REFUSED_SHARE));
+        let share = (1.0 - limit * weight / work).clamp(0.0, 1.0);
         (member.index, share)
     };
     members.iter().map(share).collect()
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -11,6 +11,7 @@
 use crate::error::StoreError;
 use crate::log::LOG_INTERVAL;
 use crate::member::{Record, View};
+use crate::overload::DemandReport;
 use crate::roster::{self, Members, Roster};
 use crate::shared::Shared;
 use crate::store::{Commit, Row, Transaction};
@@ -64,7 +65,7 @@
         board.record_timer_lag(board.clock.now().since(due));
         let (policy, tables) = (board.policy.load_full(), board.tables.load_full());
         let due = board.feedback.due_reports(&policy, &tables, board.clock.now());
-        let reports = due.iter().map(|(service, work)| report_work(&shared, service, *work));
+        let reports = due.iter().map(|(service, report)| report_demand(&shared, service, *report));
         futures::future::join_all(reports).await;
         board.feedback.update_refused_shares(&policy, &tables, board.clock.now());
     }
@@ -80,7 +81,7 @@
 
 /// Reports offered work to the first reachable instance of a service, and records the overload status
 /// that it returns. Taking the first makes all entries report to the same one.
-async fn report_work(shared: &Shared, service: &str, work: f64) {
+async fn report_demand(shared: &Shared, service: &str, report: DemandReport) {
     let board = &shared.board;
     let now = board.clock.now();
     let instances = board.instances.load_full();
@@ -90,9 +91,9 @@
         return;
     };
     let status = if first.vm == board.settings.vm {
-        Some(board.report_offered_work(&first.vm, work))
+        Some(board.record_demand(&first.vm, report))
     } else {
-        shared.peers.report_offered_work(shared, first.control, work).await
+        shared.peers.report_demand(shared, first.control, report).await
     };
     match status {
         Some(status) => board.feedback.record_status(service, status, board.clock.now()),
--- a/src/document/policy.rs
+++ b/src/document/policy.rs
@@ -285,6 +285,11 @@
         &self.customers[id.index()]
     }
 
+    /// Returns all customers that have ids, including those that the document in force no longer has.
+    pub fn customers(&self) -> &[Customer] {
+        &self.customers
+    }
+
     /// Returns the route with this id.
     pub fn route_at(&self, id: RouteId) -> &Route {
         &self.routes[id.index()]
--- a/src/feedback.rs
+++ b/src/feedback.rs
@@ -5,17 +5,18 @@
 //! each of these services how much work it is offered for it, and refuses requests that would only take
 //! capacity there from others. docs/DESIGN.md, "Feedback", follows one request through these steps.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 
 use crate::admission::{self, Flow};
+use crate::demand::{self, Counts};
 use crate::document::{CustomerId, Policy};
-use crate::envelope::ReachedService;
+use crate::envelope::{Load, ReachedService};
 use crate::fanout::Fanout;
-use crate::overload::OverloadStatus;
+use crate::overload::{DemandReport, OverloadStatus, SeenLoad};
 use crate::sync::lock;
 use crate::tables::Tables;
 use crate::time::Time;
@@ -34,8 +35,39 @@
 /// Decrease of the excess share per second after that.
 const STALE_DECREASE: f32 = 1.0;
 
-/// Shares of requests that are refused, by the route's index and the customer.
-pub type RefusedShares = BTreeMap<(usize, Option<CustomerId>), f32>;
+/// Number of recent requests from which a customer is distinguished. Rarer ones vary so much by chance
+/// that a customer would be refused or spared for it.
+const MIN_DISTINCT_COUNT: f64 = 6.0;
+
+/// Number of requests that a sender without any counts for, so that the share that is refused of a class is
+/// known before a request of it arrives.
+const MIN_FLOW_COUNT: f64 = 0.05;
+
+/// Shares of requests that an entry refuses.
+#[derive(Debug, Default)]
+struct RefusedShares {
+    /// Of customers that are distinguished, by the route's index.
+    distinct: BTreeMap<(usize, CustomerId), f32>,
+    /// Of all others, by the route's index and the customer's rank.
+    pooled: BTreeMap<(usize, u8), f32>,
+    /// The customers that are distinguished.
+    customers: BTreeSet<CustomerId>,
+    /// The rank of each customer.
+    ranks: Vec<u8>,
+}
+
+impl RefusedShares {
+    fn get(&self, route: usize, customer: Option<CustomerId>) -> f32 {
+        let share = match customer {
+            Some(id) if self.customers.contains(&id) => self.distinct.get(&(route, id)),
+            other => {
+                let rank = other.and_then(|id| self.ranks.get(id.index())).copied().unwrap_or(0);
+                self.pooled.get(&(route, rank))
+            }
+        };
+        share.copied().unwrap_or(0.0)
+    }
+}
 
 /// Load feedback that one daemon has received.
 #[derive(Debug, Default)]
@@ -53,6 +85,8 @@
     status: Option<(OverloadStatus, Time)>,
     /// When offered work was last reported.
     reported: Time,
+    /// The load that answers have shown since then.
+    seen: SeenLoad,
 }
 
 impl ServiceFeedback {
@@ -72,7 +106,7 @@
 impl Feedback {
     /// Share of a customer's requests on a route that the entry refuses.
     pub fn refused_share(&self, route: usize, customer: Option<CustomerId>) -> f32 {
-        self.refused_shares.load().get(&(route, customer)).copied().unwrap_or(0.0)
+        self.refused_shares.load().get(route, customer)
     }
 
     /// Services that requests of `route` reach through downstream calls of the local backend server,
@@ -90,13 +124,19 @@
         work.into_iter().map(reached).collect()
     }
 
-    /// Returns the services to which a report is due, with the work that is offered here for each, in
-    /// seconds of a slot per second. The reports count as sent.
-    pub fn due_reports(&self, policy: &Policy, tables: &Tables, now: Time) -> Vec<(String, f64)> {
+    /// Returns the services to which a report is due, each with its report, which counts as sent.
+    pub fn due_reports(
+        &self,
+        policy: &Policy,
+        tables: &Tables,
+        now: Time,
+    ) -> Vec<(String, DemandReport)> {
         let mut offered: BTreeMap<String, f64> = BTreeMap::new();
-        for flow in flows(policy, tables, now) {
-            for (service, work) in flow.work {
-                *offered.entry(service).or_default() += flow.rate * work;
+        for route in policy.routes() {
+            let Some(state) = tables.routes.get(&route.name) else { continue };
+            let rate = state.rate(now);
+            for (service, work) in state.work() {
+                *offered.entry(service).or_default() += rate * work;
             }
         }
         let mut services = lock(&self.services);
@@ -105,12 +145,21 @@
             let feedback = services.entry(service.clone()).or_default();
             if now.since(feedback.reported) >= feedback.report_interval() {
                 feedback.reported = now;
-                due.push((service, work));
+                let seen = std::mem::take(&mut feedback.seen);
+                due.push((service, DemandReport { work, seen }));
             }
         }
         due
     }
 
+    /// Records the load that an answer showed of an instance of `service`, and whether the instance
+    /// refused the request.
+    pub fn record_load(&self, service: &str, load: Load, refused: bool) {
+        if let Some(feedback) = lock(&self.services).get_mut(service) {
+            feedback.seen.record(load, refused);
+        }
+    }
+
     /// Stores the status that a service returned. It is ignored for a service to which no report was
     /// due.
     pub fn record_status(&self, service: &str, status: OverloadStatus, now: Time) {
@@ -123,16 +172,26 @@
     pub fn update_refused_shares(&self, policy: &Policy, tables: &Tables, now: Time) {
         let excess_shares = self.excess_shares(now);
         if excess_shares.values().all(|share| *share <= 0.0) {
-            if !self.refused_shares.load().is_empty() {
+            if !self.refused_shares.load().ranks.is_empty() {
                 self.refused_shares.store(Arc::default());
             }
             return;
         }
-        let flows = flows(policy, tables, now);
+        let senders = Senders::count(policy, tables, now);
+        let flows = senders.flows(policy, tables);
         let shares = admission::shed(&flows, &excess_shares);
-        let refused = flows.iter().zip(shares).filter(|(_, share)| *share > 0.0);
-        let refused = refused.map(|(flow, share)| ((flow.route, flow.customer), share));
-        self.refused_shares.store(Arc::new(refused.collect()));
+        let mut refused = RefusedShares {
+            customers: senders.distinct.into_iter().collect(),
+            ranks: policy.customers().iter().map(|customer| customer.rank).collect(),
+            ..RefusedShares::default()
+        };
+        for (flow, share) in flows.iter().zip(shares) {
+            match flow.customer {
+                Some(id) => drop(refused.distinct.insert((flow.route, id), share)),
+                None => drop(refused.pooled.insert((flow.route, flow.rank), share)),
+            }
+        }
+        self.refused_shares.store(Arc::new(refused));
     }
 
     /// Share of the offered work that each service wants refused.
@@ -145,24 +204,79 @@
     }
 }
 
-/// The requests offered at this entry, by route and customer.
-fn flows(policy: &Policy, tables: &Tables, now: Time) -> Vec<Flow> {
-    let mut flows = Vec::new();
-    for (index, route) in policy.routes().iter().enumerate() {
-        let Some(state) = tables.routes.get(&route.name) else { continue };
-        let work = state.work();
-        for (customer, rate) in state.rates(now) {
-            let details = customer.map(|id| policy.customer(id));
-            flows.push(Flow {
+/// Who sent the recent requests at this entry.
+struct Senders {
+    /// Number of requests of each customer, by the route's index.
+    counts: Vec<Counts>,
+    /// Customers with enough requests to be distinguished.
+    distinct: Vec<CustomerId>,
+}
+
+impl Senders {
+    fn count(policy: &Policy, tables: &Tables, now: Time) -> Self {
+        let states = policy.routes().iter().map(|route| tables.routes.get(&route.name));
+        let windows = states.map(|state| state.map(|state| state.counts(now)).unwrap_or_default());
+        let counts = demand::shortest_sufficient(windows.collect());
+        let mut totals: BTreeMap<CustomerId, f64> = BTreeMap::new();
+        for (customer, count) in counts.iter().flatten() {
+            if let Some(id) = customer {
+                *totals.entry(*id).or_default() += count;
+            }
+        }
+        totals.retain(|_, total| *total >= MIN_DISTINCT_COUNT);
+        Self { counts, distinct: totals.into_keys().collect() }
+    }
+
+    /// The requests of each route: one flow for each distinguished customer, and one for all others of
+    /// each rank.
+    fn flows(&self, policy: &Policy, tables: &Tables) -> Vec<Flow> {
+        let pools = self.pool_weights(policy);
+        let mut flows = Vec::new();
+        for (index, route) in policy.routes().iter().enumerate() {
+            let work = tables.routes.get(&route.name).map(|state| state.work()).unwrap_or_default();
+            if work.is_empty() {
+                continue;
+            }
+            let mut distinct: BTreeMap<CustomerId, f64> =
+                self.distinct.iter().map(|id| (*id, 0.0)).collect();
+            let mut pooled: BTreeMap<u8, f64> = pools.keys().map(|rank| (*rank, 0.0)).collect();
+            for (customer, count) in &self.counts[index] {
+                let rank = customer.map_or(0, |id| policy.customer(id).rank);
+                match customer.and_then(|id| distinct.get_mut(&id)) {
+                    Some(known) => *known += count,
+                    None => *pooled.entry(rank).or_default() += count,
+                }
+            }
+            let flow = |customer: Option<CustomerId>, rank: u8, weight: f64, count: f64| Flow {
                 route: index,
                 customer,
-                weight: details.map_or(1.0, |details| f64::from(details.weight)),
-                rank: details.map_or(0, |details| details.rank),
+                weight,
+                rank,
                 importance: route.importance,
-                rate,
+                rate: count.max(MIN_FLOW_COUNT),
                 work: work.clone(),
-            });
+            };
+            flows.extend(distinct.into_iter().map(|(id, count)| {
+                let customer = policy.customer(id);
+                flow(Some(id), customer.rank, f64::from(customer.weight), count)
+            }));
+            flows.extend(pooled.into_iter().map(|(rank, count)| {
+                flow(None, rank, pools.get(&rank).copied().unwrap_or(1.0), count)
+            }));
+        }
+        flows
+    }
+
+    /// The weight of all customers of each rank that are not distinguished. Callers without a customer
+    /// count as one more of rank 0.
+    fn pool_weights(&self, policy: &Policy) -> BTreeMap<u8, f64> {
+        let mut weights = BTreeMap::from([(0, 1.0)]);
+        for (index, customer) in policy.customers().iter().enumerate() {
+            let is_distinct = self.distinct.binary_search(&CustomerId::new(index as u32)).is_ok();
+            if customer.active && !is_distinct {
+                *weights.entry(customer.rank).or_default() += f64::from(customer.weight);
+            }
         }
+        weights
     }
-    flows
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -199,6 +199,8 @@
     retry_budget.refund(reserved.saturating_sub(report.retries_used));
     if report.load.slots > 0 {
         instance.record_load(report.load, board.clock.now());
+        let refused = report.reason.as_ref().is_some_and(Reason::is_overload);
+        board.feedback.record_load(&call.envelope.service, report.load, refused);
     }
     if records_reached(shared, call) {
         board.record_reached(&call.envelope.route, &report.reached);
--- a/src/guard.rs
+++ b/src/guard.rs
@@ -18,8 +18,11 @@
 /// Mean service time assumed until the first request has finished.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(10);
 
-/// Weight of one finished request in the moving average of the service time.
-const SERVICE_TIME_GAIN: f64 = 0.05;
+/// Bounds of the weight of one finished request in the moving average of the service time. It is the
+/// reciprocal of the requests in flight: a backend server that was slow gets few requests until its
+/// average shows that it has recovered, so each of these has to count for more.
+const MIN_SERVICE_TIME_GAIN: f64 = 0.05;
+const MAX_SERVICE_TIME_GAIN: f64 = 0.15;
 
 /// Weight of one offered request in the moving average of the refused fraction. It averages over about
 /// a hundred requests, which a busy instance receives in a tenth of a second.
@@ -224,11 +227,17 @@
 
     /// Frees the slot of a request that ended, and starts the next one.
     pub fn finish(&mut self, service_time: ServiceTime) -> Released {
+        let gain = self.service_time_gain();
         self.in_flight = self.in_flight.saturating_sub(1);
-        service_time.update_mean(&mut self.mean_service, SERVICE_TIME_GAIN);
+        service_time.update_mean(&mut self.mean_service, gain);
         Released { start: self.start_waiting(), shed: Vec::new() }
     }
 
+    /// Weight of the next finished request in a moving average of the service time.
+    pub fn service_time_gain(&self) -> f64 {
+        (1.0 / self.in_flight.max(1) as f64).clamp(MIN_SERVICE_TIME_GAIN, MAX_SERVICE_TIME_GAIN)
+    }
+
     /// Removes a request from the queue. Returns whether it was still waiting.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
         let Some(position) = self.waiting.remove(&ticket) else { return false };
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -157,10 +157,7 @@
 
     /// Returns the weight of the last reported load and service time, from 0 to 1.
     fn report_weight(&self, now: Time) -> f64 {
-        let age = now.since(Time::from_micros(self.reported_at.load(Ordering::Relaxed)));
-        0.5_f64.powf(
-            age.saturating_sub(REPORT_FRESH_TIME).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64(),
-        )
+        report_weight(now.since(Time::from_micros(self.reported_at.load(Ordering::Relaxed))))
     }
 
     fn ramp_fraction(&self, ramp: Duration, now: Time) -> f64 {
@@ -173,6 +170,13 @@
     }
 }
 
+/// Returns the weight of a report of this age, from 0 to 1.
+pub fn report_weight(age: Duration) -> f64 {
+    let half_lives =
+        age.saturating_sub(REPORT_FRESH_TIME).as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64();
+    0.5_f64.powf(half_lives)
+}
+
 /// Moving average of the fraction of an instance's answers that were failures.
 #[derive(Debug, Default)]
 struct FailureRate {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -7,9 +7,6 @@
 use crate::envelope::Load;
 use crate::guard::{Guard, Released, ServiceTime};
 
-/// Weight of one finished request in the moving average of its route's service time.
-const SERVICE_TIME_GAIN: f64 = 0.05;
-
 /// Admission state of one backend server.
 #[derive(Debug)]
 pub struct Intake {
@@ -37,8 +34,9 @@
     /// Records the end of a request of `route` that held a slot for `service_time`. Returns the queued
     /// requests whose wait ends with it.
     pub fn finish(&mut self, route: &str, service_time: ServiceTime) -> Released {
+        let gain = self.guard.service_time_gain();
         match self.service_times.get_mut(route) {
-            Some(mean) => service_time.update_mean(mean, SERVICE_TIME_GAIN),
+            Some(mean) => service_time.update_mean(mean, gain),
             None => {
                 if let ServiceTime::Completed(span) = service_time {
                     self.service_times.insert(route.to_owned(), span.as_secs_f64());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod connection;
 pub mod controllers;
 pub mod daemon;
+pub mod demand;
 pub mod dialect;
 pub mod document;
 pub mod egress;
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -7,10 +7,10 @@
 
 use crate::board::Board;
 use crate::document::Importance;
-use crate::envelope::ReachedService;
+use crate::envelope::{Load, ReachedService};
 use crate::log::LOG_INTERVAL;
 use crate::metrics::WaitLabels;
-use crate::overload::{Capacity, OverloadStatus};
+use crate::overload::{Capacity, DemandReport, OverloadStatus};
 use crate::pipeline::Delivery;
 use crate::quarantine::{CrashStatus, Fingerprint, Quarantine};
 use crate::reason::Reason;
@@ -49,7 +49,7 @@
 
     /// Records how much work the entry on `vm` is offered for the local service, and returns the share
     /// of it that the entry has to refuse.
-    pub fn report_offered_work(&self, vm: &str, work: f64) -> OverloadStatus {
+    pub fn record_demand(&self, vm: &str, report: DemandReport) -> OverloadStatus {
         let now = self.clock.now();
         let service = self.own_service();
         let slots: u32 = self.read_view(|view| {
@@ -59,9 +59,18 @@
             accepting.map(|member| member.record.slots).sum()
         });
         let (wait, refused_fraction) = self.gate.queue_pressure();
-        let capacity =
-            Capacity { slots: f64::from(slots) * USABLE_SLOT_FRACTION, wait, refused_fraction };
-        let status = lock(&self.overload).update(vm, work, capacity, now);
+        let Load { in_flight, slots: own_slots, .. } = self.gate.load();
+        let local = Capacity {
+            slots: f64::from(slots) * USABLE_SLOT_FRACTION,
+            wait,
+            refused_fraction,
+            busy_fraction: f64::from(in_flight) / f64::from(own_slots.max(1)),
+        };
+        let (status, capacity) = {
+            let mut overload = lock(&self.overload);
+            let status = overload.update(vm, report, local, now);
+            (status, overload.service_capacity(local))
+        };
         if status.excess_share > 0.0 && self.overload_log.is_due(now, LOG_INTERVAL) {
             tracing::info!(
                 event = "service-overloaded",
@@ -70,8 +79,9 @@
                 refuse_pct = (status.excess_share * 100.0) as u64,
                 offered_pct = (status.utilization * 100.0) as u64,
                 slots = capacity.slots,
-                wait_ms = wait.as_millis() as u64,
-                turned_away_pct = (refused_fraction * 100.0) as u64,
+                wait_ms = capacity.wait.as_millis() as u64,
+                busy_pct = (capacity.busy_fraction * 100.0) as u64,
+                turned_away_pct = (capacity.refused_fraction * 100.0) as u64,
                 service_ms = self.gate.load().mean_us / 1_000,
             );
         }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -26,7 +26,7 @@
 use crate::handshake;
 use crate::member::Record;
 use crate::message::{Answer, Message};
-use crate::overload::OverloadStatus;
+use crate::overload::{DemandReport, OverloadStatus};
 use crate::quarantine::SuspectReport;
 use crate::roster::Roster;
 use crate::share::LOAN_VALIDITY;
@@ -65,7 +65,7 @@
     async fn run(envelope: Envelope, message: Message) -> Answer;
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
     async fn borrow(request: LoanRequest) -> LoanResponse;
-    async fn report_offered_work(vm: String, offered_work: f64) -> OverloadStatus;
+    async fn report_demand(vm: String, report: DemandReport) -> OverloadStatus;
     async fn document(newer_than: u64) -> Option<RawDocument>;
     async fn roster(newer_than: u64) -> Option<Roster>;
     async fn ping();
@@ -218,18 +218,17 @@
         response.is_some_and(|response| response.granted) && in_time
     }
 
-    /// Reports the work that is offered here for the service of the daemon at `address`, in slot-seconds
-    /// per second, and returns that daemon's overload status, which contains the share of it to refuse.
-    pub async fn report_offered_work(
+    /// Reports the demand here for the service of the daemon at `address`, and returns that daemon's
+    /// overload status, which contains the share of it to refuse.
+    pub async fn report_demand(
         &self,
         shared: &Shared,
         address: SocketAddr,
-        offered_work: f64,
+        report: DemandReport,
     ) -> Option<OverloadStatus> {
         let vm = shared.board.settings.vm.clone();
-        let send = async |client: &PeerClient, context| {
-            client.report_offered_work(context, vm, offered_work).await
-        };
+        let send =
+            async |client: &PeerClient, context| client.report_demand(context, vm, report).await;
         self.call_within(REPORT_TIMEOUT, shared, address, send).await
     }
 
@@ -442,13 +441,13 @@
         LoanResponse { granted: self.shared.board.lend(&request.customer) }
     }
 
-    async fn report_offered_work(
+    async fn report_demand(
         self,
         _: context::Context,
         vm: String,
-        offered_work: f64,
+        report: DemandReport,
     ) -> OverloadStatus {
-        self.shared.board.report_offered_work(&vm, offered_work)
+        self.shared.board.record_demand(&vm, report)
     }
 
     async fn document(self, _: context::Context, newer_than: u64) -> Option<RawDocument> {
--- a/src/reason.rs
+++ b/src/reason.rs
@@ -273,6 +273,14 @@
             )
     }
 
+    /// Whether an instance refused the request because it had no room for it.
+    pub const fn is_overload(&self) -> bool {
+        matches!(
+            self,
+            Self::QueueDelay { .. } | Self::Displaced { .. } | Self::Shed { .. } | Self::Shedding
+        )
+    }
+
     /// Whether the instance's own daemon refused the request before it reached the backend server.
     pub const fn is_turned_away(&self) -> bool {
         matches!(
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 
 use crate::bucket::TokenBucket;
+use crate::demand::{Counts, Demand};
 use crate::document::{CustomerId, Policy, RateLimit};
 use crate::envelope::ReachedService;
 use crate::share::{LenderCursor, ShareBucket};
@@ -26,15 +27,6 @@
 /// the control traffic that a customer far over its rate can cause.
 const BORROW_PAUSE: Duration = Duration::from_millis(5);
 
-/// Minimum time between two updates of a rate.
-const RATE_INTERVAL: Duration = Duration::from_millis(50);
-
-/// Time constant of the moving average of a rate. A surge shows within half a second.
-const RATE_TIME_CONSTANT: Duration = Duration::from_millis(200);
-
-/// Requests per second below which a customer counts as inactive.
-const MIN_RATE: f64 = 0.05;
-
 /// Interval at which each instance is asked which services requests of a route reach.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -155,7 +147,7 @@
     }
 }
 
-/// Request rates of a route by customer, and the work that one request causes at each service, as seen
+/// The requests of a route, and the work that one request causes at each service, as seen
 /// by an entry.
 #[derive(Debug, Default)]
 pub struct RouteState {
@@ -166,38 +158,15 @@
 struct RouteStats {
     /// Slot-seconds per request at each service.
     work: BTreeMap<String, f64>,
-    rates: BTreeMap<Option<CustomerId>, Rate>,
+    demand: Demand,
     /// When each VM's instance was last asked which services requests reach.
     asked: BTreeMap<String, Time>,
 }
 
-/// Requests per second, as a moving average over [`RATE_TIME_CONSTANT`].
-#[derive(Debug, Default, Clone, Copy)]
-struct Rate {
-    count: u32,
-    rate: f64,
-    updated: Time,
-}
-
-impl Rate {
-    fn advance(&mut self, now: Time) {
-        let span = now.since(self.updated);
-        if span < RATE_INTERVAL {
-            return;
-        }
-        let fresh = f64::from(self.count) / span.as_secs_f64();
-        let old = (-span.as_secs_f64() / RATE_TIME_CONSTANT.as_secs_f64()).exp();
-        *self = Self { count: 0, rate: self.rate * old + fresh * (1.0 - old), updated: now };
-    }
-}
-
 impl RouteState {
     /// Counts an offered request, before it is admitted or refused.
     pub fn record_request(&self, customer: Option<CustomerId>, now: Time) {
-        let mut state = lock(&self.state);
-        let rate = state.rates.entry(customer).or_default();
-        rate.count += 1;
-        rate.advance(now);
+        lock(&self.state).demand.record(customer, now);
     }
 
     /// Whether the instance on `vm` should report again which services requests of this route reach.
@@ -239,14 +208,14 @@
         lock(&self.state).work.clone()
     }
 
-    /// Returns the customers with recent requests and their requests per second.
-    pub fn rates(&self, now: Time) -> Vec<(Option<CustomerId>, f64)> {
-        let mut state = lock(&self.state);
-        state.rates.retain(|_, rate| {
-            rate.advance(now);
-            rate.rate > MIN_RATE
-        });
-        state.rates.iter().map(|(customer, rate)| (*customer, rate.rate)).collect()
+    /// Returns the requests per second over the last fraction of a second.
+    pub fn rate(&self, now: Time) -> f64 {
+        lock(&self.state).demand.rate(now)
+    }
+
+    /// Returns the number of requests of each customer, for each window of [`Demand`].
+    pub fn counts(&self, now: Time) -> [Counts; 3] {
+        lock(&self.state).demand.counts(now)
     }
 }
 
