Go through the return of the store from an older copy

What callers would have seen: after a drill in which the store loses its last seconds, a repeat of a sign-off runs a second time (its claim is gone), an operator's next edit is never in force (its version is one that the fleet has passed), a VM that has just registered is found by heartbeats only, and a daemon that starts from the copy joins an old roster, so that shares add up to more than the whole.

Cause: an acknowledged write was taken for lasting, and a version for one that rises for ever.

Change: the client notices the era in the header of every answer, and drops answers of an earlier one. Documents and rosters are numbered so that a later era outranks all earlier ones. Rows of VMs and the roster are written again, feeds start anew.

Not measured: store calls at 100 and 300 members; not tested: the return beside kills, cuts and a planned stop.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -5,8 +5,8 @@
 //! long time.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -18,14 +18,17 @@
 use crate::board::InFlight;
 use crate::claim::{self, Claim, Header, State, StoredAnswer, StoredBody, Verdict};
 use crate::envelope::{Report, Token};
+use crate::era::RESTORE_TIME;
 use crate::error::StoreError;
 use crate::forward::{self, Call};
 use crate::key::Digest;
 use crate::message::Answer;
 use crate::reason::{Outcome, Reason};
+use crate::recall::{self, RecentClaims, Restoration};
 use crate::retry::RetryBudget;
 use crate::shared::Shared;
 use crate::store::{Client, Commit, Row, Transaction};
+use crate::sync::lock;
 use crate::time::unix_seconds;
 
 /// Maximum number of claims or settlements in one write.
@@ -60,6 +63,7 @@
     inserts: mpsc::Sender<Insert>,
     settlements: mpsc::Sender<Settlement>,
     unsettled: Arc<AtomicUsize>,
+    recent: Mutex<RecentClaims>,
 }
 
 impl Sender {
@@ -103,7 +107,7 @@
         settlements: settlement_receiver,
         unsettled: Arc::clone(&unsettled),
     };
-    (Sender { inserts, settlements, unsettled }, receiver)
+    (Sender { inserts, settlements, unsettled, recent: Mutex::default() }, receiver)
 }
 
 /// Runs a non-idempotent call at most once, or returns the answer of its first run.
@@ -221,6 +225,7 @@
 
 /// Queues the outcome of a claim. It is written in the background, and retried until that succeeds.
 async fn queue_settlement(shared: &Shared, key: &str, token: Token, state: Option<State>) {
+    lock(&shared.claims.recent).settle(key, token, state.as_ref());
     let settlement = Settlement { key: key.to_owned(), token, state };
     shared.claims.unsettled.fetch_add(1, Ordering::AcqRel);
     let _ = shared.claims.settlements.send(settlement).await;
@@ -280,19 +285,77 @@
 pub async fn run(shared: Arc<Shared>, receiver: Receiver) {
     let Receiver { inserts, settlements, unsettled } = receiver;
     tokio::join!(
-        write_inserts(&shared.store, inserts),
-        write_settlements(&shared.store, settlements, &unsettled)
+        write_inserts(&shared, inserts),
+        write_settlements(&shared.store, settlements, &unsettled),
+        restore_claims(&shared)
     );
 }
 
-async fn write_inserts(store: &Client, mut receiver: mpsc::Receiver<Insert>) {
+/// Writes the recent claims again whenever the store comes back from an older copy.
+async fn restore_claims(shared: &Shared) {
+    let mut era = shared.store.watch_era();
+    while era.changed().await.is_ok() {
+        let number = era.borrow_and_update().number;
+        shared.board.metrics.store_era.set(number as i64);
+        let mut claims = lock(&shared.claims.recent).all();
+        let count = claims.len();
+        let mut lost = 0;
+        while !claims.is_empty() && shared.store.era().number == number {
+            let batch = claims.split_off(claims.len().saturating_sub(MAX_BATCH));
+            match restore_batch(&shared.store, &batch).await {
+                Ok(lost_now) => lost += lost_now,
+                Err(_) => {
+                    claims.extend(batch);
+                    tokio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+        let written = count - claims.len() - lost;
+        tracing::info!(event = "claims-restored", era = number, written, lost);
+    }
+}
+
+/// Writes claims again that the store does not hold. Returns how many cannot be restored.
+///
+/// # Errors
+///
+/// Returns an error if the batch has to be tried again.
+async fn restore_batch(store: &Client, batch: &[(String, Claim)]) -> Result<usize, StoreError> {
+    let keys: Vec<String> = batch.iter().map(|(key, _)| key.clone()).collect();
+    let rows = store.rows(&keys).await?;
+    let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
+    let mut transaction = Transaction::default();
+    let mut lost = 0;
+    for (key, claim) in batch {
+        match recall::restore(key, rows.get(key.as_str()).copied(), claim) {
+            Restoration::Held => {}
+            Restoration::Write(change) => {
+                transaction.checks.extend(change.checks);
+                transaction.writes.extend(change.writes);
+            }
+            Restoration::Lost => {
+                lost += 1;
+                tracing::error!(event = "claim-lost", request = claim.request, key);
+            }
+        }
+    }
+    if transaction.writes.is_empty() {
+        return Ok(lost);
+    }
+    match store.commit(&transaction).await? {
+        Commit::Done(_) => Ok(lost),
+        Commit::Conflict(_) => Err(StoreError::Unavailable("a row changed".to_owned())),
+    }
+}
+
+async fn write_inserts(shared: &Shared, mut receiver: mpsc::Receiver<Insert>) {
     let mut batch = Vec::with_capacity(MAX_BATCH);
     while receiver.recv_many(&mut batch, MAX_BATCH).await > 0 {
         let mut waiting = std::mem::take(&mut batch);
         // A transaction must not contain two claims with the same key.
         while !waiting.is_empty() {
             let (unique, duplicates) = split_duplicates(waiting);
-            insert_batch(store, unique).await;
+            insert_batch(shared, unique).await;
             waiting = duplicates;
         }
     }
@@ -305,7 +368,8 @@
 }
 
 /// Inserts claims, retrying until each has a verdict, has failed, or its request no longer waits.
-async fn insert_batch(store: &Client, mut batch: Vec<Insert>) {
+async fn insert_batch(shared: &Shared, mut batch: Vec<Insert>) {
+    let store = &shared.store;
     loop {
         batch.retain(|insert| !insert.reply.is_closed());
         if batch.is_empty() {
@@ -315,14 +379,19 @@
             |transaction, insert: &Insert| claim::insert(transaction, &insert.key, &insert.claim);
         let transaction = batch.iter().fold(Transaction::default(), add);
         match store.commit(&transaction).await {
+            // The store may have lost a claim with the same key that another daemon has yet to restore.
+            Ok(Commit::Done(_)) if !store.era().is_restored(shared.board.clock.now()) => {
+                shared.board.clock.sleep_until(store.era().since + RESTORE_TIME).await;
+                batch = read_back(shared, batch).await;
+            }
             Ok(Commit::Done(_)) => {
                 for insert in batch {
-                    let _ = insert.reply.send(Ok(Verdict::Own));
+                    reply(shared, insert, Verdict::Own);
                 }
                 return;
             }
             Ok(Commit::Conflict(_)) | Err(StoreError::AnswerLost(_)) => {
-                batch = read_back(store, batch).await;
+                batch = read_back(shared, batch).await;
             }
             Err(
                 error
@@ -335,6 +404,16 @@
     }
 }
 
+/// Answers an insert. A claim that was made is remembered before its request learns of it, so that it is
+/// written again if the store loses it.
+fn reply(shared: &Shared, insert: Insert, verdict: Verdict) {
+    let Insert { key, claim, reply } = insert;
+    if verdict == Verdict::Own {
+        lock(&shared.claims.recent).insert(&key, claim, shared.board.clock.now());
+    }
+    let _ = reply.send(Ok(verdict));
+}
+
 fn reject(batch: Vec<Insert>, error: &StoreError) {
     for insert in batch {
         let _ = insert.reply.send(Err(error.clone()));
@@ -342,7 +421,8 @@
 }
 
 /// Sends verdicts for the claims whose rows exist, and returns those that remain to be inserted.
-async fn read_back(store: &Client, batch: Vec<Insert>) -> Vec<Insert> {
+async fn read_back(shared: &Shared, batch: Vec<Insert>) -> Vec<Insert> {
+    let store = &shared.store;
     let keys: Vec<String> = batch.iter().map(|insert| insert.key.clone()).collect();
     let rows = match store.rows(&keys).await {
         Ok(rows) => rows,
@@ -363,7 +443,7 @@
             claim::evaluate(rows.get(&insert.key), insert.claim.token, insert.claim.digest);
         match verdict {
             Verdict::Vacant => remaining.push(insert),
-            verdict => drop(insert.reply.send(Ok(verdict))),
+            verdict => reply(shared, insert, verdict),
         }
     }
     remaining
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::board::{Board, Newer};
+use crate::era;
 use crate::error::StoreError;
 use crate::log::LOG_INTERVAL;
 use crate::member::{Record, View};
@@ -46,6 +47,14 @@
 /// Number of checks for which a VM leaves settling the roster to its first member.
 const SETTLE_DELAY_CHECKS: u32 = 6;
 
+/// Mean delay between the begin of an era of the store and the registration of a VM in it, so that a
+/// large fleet does not write all its rows at once.
+const REGISTER_AGAIN_DELAY: Duration = Duration::from_millis(500);
+
+/// Number of checks for which a VM leaves writing the roster in a new era of the store to its first
+/// member.
+const RENEW_DELAY_CHECKS: u32 = 1;
+
 /// Time without contact after which a failure domain, or the store, counts as unreachable.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -194,14 +203,35 @@
 /// member are carried by heartbeats.
 pub async fn registration(shared: Arc<Shared>) {
     let mut registered = false;
+    let mut era = shared.store.watch_era();
     loop {
         if !registered {
+            let first_contact = shared.store.era().number == 0;
             registered = register(&shared).await.is_ok();
+            if first_contact {
+                era.borrow_and_update();
+            }
         }
         let scanned = scan(&shared).await.is_ok();
         let settled = registered && scanned;
         let interval = if settled { SCAN_INTERVAL } else { FIRST_SCAN_INTERVAL };
-        tokio::time::sleep(jitter(interval)).await;
+        let renewed = async {
+            // The first answer of the store tells its era; only a later one loses rows.
+            while era.changed().await.is_ok() {
+                if registered {
+                    return;
+                }
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = tokio::time::sleep(jitter(interval)) => {}
+            () = renewed => {
+                tokio::time::sleep(jitter(REGISTER_AGAIN_DELAY)).await;
+                registered = false;
+                continue;
+            }
+        }
         // Also find a roster that no heartbeat has announced, though late.
         if settled && let Err(error) = read_roster(&shared).await {
             record_failure(&shared, &error);
@@ -260,6 +290,8 @@
     let mut newer = shared.board.newer_roster.subscribe();
     while newer.changed().await.is_ok() {
         let Newer { version, control } = *newer.borrow_and_update();
+        // Most daemons rarely send requests to the store; they learn of a new era from the roster.
+        shared.store.observe_era(era::of_version(version));
         if version <= shared.board.roster.load().version {
             continue;
         }
@@ -281,8 +313,19 @@
         record_failure(shared, &error);
     }
     tokio::time::sleep(jitter(JOIN_DELAY)).await;
-    let mut unsettled = 0;
+    let (mut unsettled, mut outdated) = (0, 0);
     loop {
+        let renewed = board.roster.load().renew(shared.store.era().number);
+        outdated = if renewed.is_some() { outdated + 1 } else { 0 };
+        if let Some(renewed) = renewed {
+            if may_renew(board, outdated)
+                && let Err(error) = write_roster(shared, renewed).await
+            {
+                record_failure(shared, &error);
+            }
+            tokio::time::sleep(jitter(ROSTER_INTERVAL)).await;
+            continue;
+        }
         unsettled = if board.roster.load().settled.is_some() { unsettled + 1 } else { 0 };
         if let Some(next) = next_roster(board, unsettled)
             && let Err(error) = write_roster(shared, next).await
@@ -293,6 +336,19 @@
     }
 }
 
+/// Whether this VM should write the roster again in a new era of the store: the first member at once,
+/// the others only if that has not happened after [`RENEW_DELAY_CHECKS`] checks. A VM that is not in the
+/// roster may have read it from the store's older copy, so it leaves that to the members as long as it
+/// knows any.
+fn may_renew(board: &Board, checks: u32) -> bool {
+    let roster = board.roster.load();
+    let me = &board.settings.vm;
+    let is_first = roster.members.keys().next() == Some(me);
+    let is_member = roster.members.contains_key(me);
+    let waited = if is_member { RENEW_DELAY_CHECKS } else { 2 * SETTLE_DELAY_CHECKS };
+    !board.is_leaving() && (is_first || checks > waited)
+}
+
 /// Returns the roster that this VM should write next, if any. If this VM is not in the roster, the next
 /// one adds it together with all live members that it knows of and that are not in it yet. If a change
 /// is pending that all members have acknowledged, the next one marks it as settled; the first member
@@ -333,7 +389,10 @@
 /// Writes the next roster, unless another was written since the one that it was derived from.
 async fn write_roster(shared: &Shared, next: Roster) -> Result<(), StoreError> {
     let row = read_roster(shared).await?;
-    if shared.board.roster.load().version + 1 != next.version {
+    let held = shared.board.roster.load();
+    let era = shared.store.era().number;
+    let follows = held.version + 1 == next.version || held.renew(era).as_ref() == Some(&next);
+    if !follows {
         return Ok(());
     }
     let transaction = Transaction::default().check(roster::KEY, row).put(roster::KEY, &next);
@@ -355,7 +414,9 @@
     board.release_shares();
     loop {
         let row = read_roster(shared).await?;
-        let Some(next) = board.roster.load().leave(me) else { break };
+        let roster = board.roster.load();
+        let roster = roster.renew(shared.store.era().number).unwrap_or_else(|| (**roster).clone());
+        let Some(next) = roster.leave(me) else { break };
         let transaction = Transaction::default()
             .check(roster::KEY, row)
             .put(roster::KEY, &next)
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -95,7 +95,13 @@
 
 async fn follow_store(shared: &Shared) {
     let mut after = None;
+    let mut era = shared.store.era().number;
     loop {
+        // Versions of an earlier era order nothing in this one, so the rows are read anew.
+        if era != shared.store.era().number {
+            era = shared.store.era().number;
+            after = None;
+        }
         if after.is_some() && !reads_store(shared) {
             tokio::time::sleep(jitter(CHECK_INTERVAL)).await;
             continue;
@@ -129,6 +135,7 @@
 async fn poll_store(shared: &Shared, after: &mut Option<u64>) -> Result<()> {
     let format = shared.format;
     let sent = shared.board.clock.now();
+    let era = shared.store.era().number;
     let rows = match *after {
         None => shared.store.scan(format.head).await?,
         Some(version) => match shared.store.feed(format.table(), version, FEED_WAIT).await {
@@ -136,6 +143,11 @@
             other => other?,
         },
     };
+    if after.is_some() && era != shared.store.era().number {
+        // The feed was continued from a version of an earlier era.
+        *after = None;
+        return Ok(());
+    }
     if let Some(row) = rows.rows.iter().rev().find(|row| row.key == format.head) {
         match (format.fetch)(&shared.store, row).await {
             Ok(text) => install(shared, text),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,8 @@
     pub platform_failures: Counter,
     /// The version of the document in force.
     pub document_version: Gauge,
+    /// The era of the store that is known here.
+    pub store_era: Gauge,
     /// Requests that hold a slot.
     pub in_flight: Gauge,
     /// Requests that wait for a slot.
@@ -107,6 +109,7 @@
             borrowed: Counter::default(),
             platform_failures: Counter::default(),
             document_version: Gauge::default(),
+            store_era: Gauge::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
         };
@@ -142,6 +145,7 @@
         let failures = self.platform_failures.clone();
         registry.register("platform_failures", "Failed exchanges with the platform", failures);
         registry.register("document_version", "Document in force", self.document_version.clone());
+        registry.register("store_era", "Era of the store", self.store_era.clone());
         registry.register("in_flight", "Requests that hold a slot", self.in_flight.clone());
         registry.register("queued", "Requests that wait for a slot", self.queued.clone());
     }
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -9,6 +9,7 @@
 
 use crate::document::{Document, SECTIONS, Sections, difference};
 use crate::envelope::Token;
+use crate::era;
 use crate::error::{Error, Invalid, Result, StoreError};
 use crate::store::{Client, Commit, Row, Transaction};
 
@@ -108,7 +109,22 @@
     /// Returns an error if the resulting document is invalid, another team owns the section, or the
     /// section has been changed since the revision that the edit is based on.
     pub fn prepare(&self, head: Option<&Row>, current: Option<&Body>) -> Result<PreparedEdit> {
-        let version = current.map_or(0, |body| body.version) + 1;
+        self.prepare_in(0, head, current)
+    }
+
+    /// Prepares the edit as [`Self::prepare`] does, for a store in this [era]. Its version is higher than
+    /// any of an earlier era: daemons may serve a version that the store has lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Self::prepare`].
+    pub fn prepare_in(
+        &self,
+        era: u64,
+        head: Option<&Row>,
+        current: Option<&Body>,
+    ) -> Result<PreparedEdit> {
+        let version = era::next_version(current.map_or(0, |body| body.version), era);
         let mut sections = current.map(|body| body.sections.clone()).unwrap_or_default();
         let changed = match &self.scope {
             Scope::Whole => self.replace_whole(&mut sections, version)?,
@@ -238,11 +254,12 @@
         let base_version = *base.get_or_insert(version);
         if lost.is_some()
             && let Some(made) =
-                find_version(platform, edit.change, base_version + 1..=version).await?
+                find_version(platform, edit.change, base_version + 1, version).await?
         {
             return Ok(made);
         }
-        let prepared = edit.prepare(head.as_ref(), current.as_ref())?;
+        let era = platform.era().number;
+        let prepared = edit.prepare_in(era, head.as_ref(), current.as_ref())?;
         let body = serde_json::to_vec(&prepared.body).unwrap_or_default();
         platform.put_object(&prepared.object, &body.into()).await?;
         match platform.commit(&prepared.transaction).await {
@@ -287,13 +304,18 @@
     Ok(serde_json::from_slice(&object).map_err(|_| damaged())?)
 }
 
-/// Returns the version that the edit with the id `change` created, or `None` if it was not committed.
+/// Returns the version from `first` to `last` that the edit with the id `change` created, or `None` if it
+/// was not committed. Each attempt creates the version after the newest, so where a new era has begun in
+/// between, only the first versions of either era have to be read.
 async fn find_version(
     platform: &Client,
     change: Token,
-    versions: std::ops::RangeInclusive<u64>,
+    first: u64,
+    last: u64,
 ) -> Result<Option<u64>> {
-    let rows = platform.rows(&versions.map(audit_key).collect::<Vec<_>>()).await?;
+    let era_start = era::next_version(0, era::of_version(last)).max(first);
+    let keys = (era_start..=last).chain(std::iter::once(first)).map(audit_key);
+    let rows = platform.rows(&keys.collect::<Vec<_>>()).await?;
     let audits = rows.iter().filter_map(Row::decode::<Audit>);
     Ok(audits.into_iter().find(|audit| audit.change == change).map(|audit| audit.version))
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -12,6 +12,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::era;
+
 /// Key of the roster's row in the store.
 pub const KEY: &str = "roster/all";
 
@@ -57,6 +59,18 @@
         self.with_members(members)
     }
 
+    /// Returns the roster as it is written again in a later era of the store, or `None` if it stems from
+    /// that era already. It outranks every roster that the store or a daemon holds from earlier eras, so
+    /// that daemons which read the store's older copy use no shares of their own making.
+    #[must_use]
+    pub fn renew(&self, era: u64) -> Option<Self> {
+        if self.version == 0 || era::of_version(self.version) >= era {
+            return None;
+        }
+        let version = era::next_version(self.version, era);
+        Some(Self { version, epoch: era::next_version(self.epoch, era), ..self.clone() })
+    }
+
     fn with_members(&self, members: Members) -> Option<Self> {
         if members == self.members {
             return None;
--- a/src/store.rs
+++ b/src/store.rs
@@ -20,8 +20,10 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use crate::breaker::CircuitBreaker;
+use crate::era::{Era, Observation};
 use crate::error::StoreError;
 use crate::message;
 use crate::settings;
@@ -196,6 +198,8 @@
     pub encode: fn(&StoreRequest<'_>) -> Result<HttpRequest, StoreError>,
     /// Decodes the HTTP response to a store request.
     pub decode: fn(&StoreRequest<'_>, StatusCode, Bytes) -> Result<Reply, StoreError>,
+    /// The header of every response that holds the number of the store's [era](crate::era).
+    pub era: &'static str,
 }
 
 impl fmt::Debug for WireProtocol {
@@ -214,6 +218,7 @@
     http: HttpClient<HttpConnector, Full<Bytes>>,
     breaker: Mutex<CircuitBreaker>,
     last_answer: AtomicU64,
+    era: watch::Sender<Era>,
 }
 
 impl Client {
@@ -235,9 +240,34 @@
             http,
             breaker: Mutex::new(CircuitBreaker::default()),
             last_answer: AtomicU64::new(0),
+            era: watch::Sender::default(),
         }
     }
 
+    /// Returns the era of the store that is known here.
+    pub fn era(&self) -> Era {
+        *self.era.borrow()
+    }
+
+    /// Returns the known era as a value that can be waited on.
+    pub fn watch_era(&self) -> watch::Receiver<Era> {
+        self.era.subscribe()
+    }
+
+    /// Records an era that the store or a peer has reported.
+    pub fn observe_era(&self, number: u64) -> Observation {
+        let mut observation = Observation::Same;
+        let now = self.clock.now();
+        self.era.send_if_modified(|era| {
+            observation = era.observe(number, now);
+            observation == Observation::Newer
+        });
+        if observation == Observation::Newer {
+            tracing::warn!(event = "store-era", era = number);
+        }
+        observation
+    }
+
     /// Sends further store requests to `address`.
     pub fn set_address(&self, address: SocketAddr) {
         self.address.store(Arc::new(address));
@@ -392,6 +422,12 @@
             }
         })?;
         let status = response.status();
+        let era = response.headers().get(self.wire.era).and_then(|era| era.to_str().ok());
+        let era = era.and_then(|era| era.trim().parse().ok());
+        if era.is_some_and(|era| self.observe_era(era) == Observation::Older) {
+            let problem = "it is of an earlier era, and the store has lost what it says".to_owned();
+            return Err(StoreError::AnswerLost(problem));
+        }
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| StoreError::AnswerLost(error.to_string()))?;
         (self.wire.decode)(request, status, body.to_bytes())
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,7 +9,10 @@
 use crate::store::{HttpRequest, Reply, StoreRequest, WireProtocol};
 
 /// The project's own protocol, JSON over HTTP.
-pub const OWN: WireProtocol = WireProtocol { encode, decode };
+pub const OWN: WireProtocol = WireProtocol { encode, decode, era: ERA };
+
+/// Header with the number of the store's era.
+pub const ERA: &str = "store-era";
 
 /// Body of a request to read rows by their keys.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -11,8 +11,8 @@
 use gypsumtack::server::{self, Bounds};
 use gypsumtack::store::{Row, Rows, Transaction};
 use gypsumtack::sync::lock;
-use gypsumtack::wire::{Feed, Read, Scan};
-use http::{Method, StatusCode};
+use gypsumtack::wire::{self, Feed, Read, Scan};
+use http::{HeaderValue, Method, StatusCode};
 use hyper::body::Incoming;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -67,6 +67,15 @@
     usage: Usage,
     rng: SmallRng,
     committed: watch::Sender<u64>,
+    /// Number of times that the platform has come back from a copy.
+    era: u64,
+}
+
+/// Everything that the platform stores, at one moment.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    table: Table,
+    objects: BTreeMap<String, Bytes>,
 }
 
 impl Platform {
@@ -86,6 +95,7 @@
             usage: Usage::default(),
             rng: SmallRng::seed_from_u64(seed),
             committed: watch::Sender::default(),
+            era: 0,
         }));
         let (stop, stopped) = watch::channel(false);
         let shared = Arc::clone(&state);
@@ -115,6 +125,23 @@
         lock(&self.state).table.clone()
     }
 
+    /// Returns a copy of everything that is stored now.
+    pub fn copy(&self) -> Copy {
+        let state = lock(&self.state);
+        Copy { table: state.table.clone(), objects: state.objects.clone() }
+    }
+
+    /// Comes back from `copy`: what was written since is lost, its versions are given out again, and the
+    /// next era begins.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = lock(&self.state);
+        state.table = copy.table.clone();
+        state.objects = copy.objects.clone();
+        state.era += 1;
+        let commits = state.table.commits();
+        state.committed.send_replace(commits);
+    }
+
     /// Stops the platform. Its rows and objects are lost.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
@@ -122,23 +149,30 @@
 }
 
 async fn handle(state: Arc<Mutex<State>>, request: http::Request<Incoming>) -> Response {
+    let mut response = answer(&state, request).await;
+    let era = lock(&state).era;
+    response.headers_mut().insert(wire::ERA, HeaderValue::from(era));
+    response
+}
+
+async fn answer(state: &Arc<Mutex<State>>, request: http::Request<Incoming>) -> Response {
     let (parts, body) = request.into_parts();
     let Ok(body) = message::collect_body(body, MAX_BODY_BYTES).await else {
         return respond(StatusCode::BAD_REQUEST, Bytes::new());
     };
     if parts.method == Method::POST && parts.uri.path() == "/faults" {
-        return set_faults(&state, &body);
+        return set_faults(state, &body);
     }
-    let faults = lock(&state).faults;
+    let faults = lock(state).faults;
     tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
     if faults.down {
         return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
     if parts.uri.path() == "/table/feed" {
-        return feed(&state, &body).await;
+        return feed(state, &body).await;
     }
-    let (response, is_write) = lock(&state).execute(&parts.method, parts.uri.path(), &body);
-    if is_write && lock(&state).rng.random_bool(faults.lose_answers.clamp(0.0, 1.0)) {
+    let (response, is_write) = lock(state).execute(&parts.method, parts.uri.path(), &body);
+    if is_write && lock(state).rng.random_bool(faults.lose_answers.clamp(0.0, 1.0)) {
         tokio::time::sleep(LOST_ANSWER_DELAY).await;
     }
     response
@@ -165,7 +199,7 @@
     if state.faults.down {
         return respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
     }
-    if state.faults.forget {
+    if state.faults.forget || after > state.table.commits() {
         return respond(StatusCode::GONE, Bytes::new());
     }
     json(&changes.unwrap_or_else(|_| state.table.changes(&table, after)))
