Leave every rank of customers a minimum of its importance

Change: each rank keeps half of what it would keep if all ranks were refused alike; above that, the order stays. The stepwise reference of the tests computes the same rule on its own.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,8 +1,9 @@
 //! Decides which requests an entry refuses when services on their way are overloaded.
 //!
 //! Under a lasting overload some requests have to be refused. The least important go first; among
-//! equally important ones, those of customers with the highest rank number; and among these, those of
-//! customers that ask for more than the fair share of their weight. All others are admitted unchanged,
+//! equally important ones, those of customers with the highest rank number, down to a minimum, so that no
+//! customer goes without service for its rank; and among these, those of customers that ask for more
+//! than the fair share of their weight. All others are admitted unchanged,
 //! so that some requests are served in full instead of many in part. The functions are pure.
 //! docs/POLICY.md names the loads that this policy answers.
 
@@ -14,6 +15,10 @@
 /// Requests that cost less than this share of the mean cost in their class are not refused.
 const MIN_RELATIVE_COST: f64 = 0.1;
 
+/// Share of an importance that each rank keeps at least, relative to what it would keep if all ranks were
+/// refused alike.
+pub const MIN_RANK_SHARE: f64 = 0.5;
+
 /// Requests of one customer on one route, as they are offered at this entry, or those of all customers
 /// of one rank that are seen too rarely to be distinguished.
 #[derive(Debug, Clone)]
@@ -55,7 +60,7 @@
 
 /// Lowers the admitted shares of flows to remove the excess work at one service.
 fn shed_for_service(flows: &[Flow], service: &str, excess_share: f64, admitted: &mut [f64]) {
-    let mut classes: BTreeMap<(Importance, u8), Vec<FlowWork>> = BTreeMap::new();
+    let mut classes: BTreeMap<Importance, Ranks> = BTreeMap::new();
     let (mut offered_work, mut admitted_work) = (0.0, 0.0);
     for (index, flow) in flows.iter().enumerate() {
         let offered = flow.rate * flow.work.get(service).copied().unwrap_or(0.0);
@@ -66,22 +71,41 @@
             let Flow { customer, weight, .. } = *flow;
             let member =
                 FlowWork { index, customer, weight, rate: flow.rate * admitted[index], work };
-            classes.entry((flow.importance, flow.rank)).or_default().push(member);
+            let ranks = classes.entry(flow.importance).or_default();
+            ranks.entry(flow.rank).or_default().push(member);
         }
     }
     let kept = (1.0 - excess_share) * offered_work;
     let mut excess = admitted_work - kept;
-    for members in classes.values_mut().rev() {
+    for ranks in classes.values_mut().rev() {
         if excess <= 0.0 {
             break;
         }
-        exclude_cheap(members);
-        let total: f64 = members.iter().map(|member| member.work).sum();
+        exclude_cheap(ranks);
+        let total: f64 = ranks.values().flatten().map(|member| member.work).sum();
         let cut = excess.min((total - PROBE_SHARE * kept).max(0.0));
-        for (index, share) in divide_cut(members, total, cut) {
+        cut_ranks(ranks, total, cut, admitted);
+        excess -= cut;
+    }
+}
+
+/// The flows of one importance, by the rank of their customers.
+type Ranks = BTreeMap<u8, Vec<FlowWork>>;
+
+/// Lowers the admitted shares of the flows of one importance by `cut` of their `total` work.
+fn cut_ranks(ranks: &Ranks, total: f64, cut: f64, admitted: &mut [f64]) {
+    let kept_alike = 1.0 - cut / total;
+    let mut remaining = cut;
+    for members in ranks.values().rev() {
+        let work: f64 = members.iter().map(|member| member.work).sum();
+        let cut = remaining.min(work * (1.0 - MIN_RANK_SHARE * kept_alike));
+        if cut <= 0.0 {
+            continue;
+        }
+        for (index, share) in divide_cut(members, work, cut) {
             admitted[index] *= 1.0 - share;
         }
-        excess -= cut;
+        remaining -= cut;
     }
 }
 
@@ -98,14 +122,16 @@
 
 /// Removes flows whose requests cost very little compared with others of their class: refusing them
 /// would free almost no capacity.
-fn exclude_cheap(members: &mut Vec<FlowWork>) {
-    let work: f64 = members.iter().map(|member| member.work).sum();
-    let rate: f64 = members.iter().map(|member| member.rate).sum();
+fn exclude_cheap(ranks: &mut Ranks) {
+    let work: f64 = ranks.values().flatten().map(|member| member.work).sum();
+    let rate: f64 = ranks.values().flatten().map(|member| member.rate).sum();
     let min_cost = MIN_RELATIVE_COST * work / rate;
-    members.retain(|member| member.work / member.rate > min_cost);
+    for members in ranks.values_mut() {
+        members.retain(|member| member.work / member.rate > min_cost);
+    }
 }
 
-/// Divides a reduction by `cut` among the flows of a class, and returns the share of each to refuse, by
+/// Divides a reduction by `cut` among flows of one importance and rank, and returns the share of each to refuse, by
 /// the flow's index. Customers are limited to the same work per unit of weight (max-min fairness); those
 /// below that limit keep all of theirs.
 fn divide_cut(members: &[FlowWork], total: f64, cut: f64) -> Vec<(usize, f64)> {
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use gypsumtack::admission::{self, Flow};
+use gypsumtack::admission::{self, Flow, MIN_RANK_SHARE};
 use gypsumtack::document::{CustomerId, Importance};
 use gypsumtack::envelope::Load;
 use gypsumtack::fanout::Fanout;
@@ -48,51 +48,51 @@
     flow.rate * flow.work[SERVICE]
 }
 
-/// Reference implementation: removes work in small steps, each from the least important class that
-/// still has some, and within it from the customer with the most work per unit of weight.
+/// Reference implementation: removes work in small steps, each from the least important flows that still
+/// have some. Of these, it takes the highest rank that has more than its minimum, and there the customer
+/// with the most work per unit of weight.
 fn shed_stepwise(flows: &[Flow], excess_share: f32) -> Vec<f64> {
     const STEPS: f64 = 20_000.0;
     let offered: f64 = flows.iter().map(work).sum();
     let step = offered / STEPS;
-    let mut remaining: BTreeMap<(usize, u32), f64> = BTreeMap::new();
     let key = |flow: &Flow| flow.customer.map_or(0, |id| id.index() as u32);
-    for (index, flow) in flows.iter().enumerate() {
-        remaining.insert((index, key(flow)), work(flow));
-    }
-    let class = |flow: &Flow| (flow.importance, flow.rank);
-    let mut removed = 0.0;
-    while removed < f64::from(excess_share) * offered {
-        let of_class = |wanted: (Importance, u8)| {
-            let members = flows.iter().enumerate().filter(move |(_, flow)| class(flow) == wanted);
-            members.map(|(index, flow)| (index, key(flow), flow.weight))
-        };
-        let removable = |wanted: (Importance, u8)| {
-            let all: f64 = of_class(wanted).map(|(index, _, _)| work(&flows[index])).sum();
-            let kept: f64 = of_class(wanted).map(|(index, id, _)| remaining[&(index, id)]).sum();
-            kept - all.min(PROBE_SHARE * (1.0 - f64::from(excess_share)) * offered)
-        };
-        let Some(class_to_cut) =
-            flows.iter().map(class).filter(|class| removable(*class) > step).max()
-        else {
-            break;
+    let mut remaining: Vec<f64> = flows.iter().map(work).collect();
+    let probes = PROBE_SHARE * (1.0 - f64::from(excess_share)) * offered;
+    let mut excess = f64::from(excess_share) * offered;
+    for importance in Importance::ALL.into_iter().rev() {
+        let of_rank = |rank: u8| {
+            let members = flows.iter().enumerate();
+            members.filter(move |(_, flow)| (flow.importance, flow.rank) == (importance, rank))
         };
-        // The work of a customer in one class is summed up, and all its flows shrink in proportion.
-        let mut customers: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
-        for (index, id, weight) in of_class(class_to_cut) {
-            let entry = customers.entry(id).or_insert((0.0, weight));
-            entry.0 += remaining[&(index, id)];
-        }
-        let per_weight = |entry: &(f64, f64)| entry.0 / entry.1;
-        let largest = customers.iter().max_by(|a, b| per_weight(a.1).total_cmp(&per_weight(b.1)));
-        let Some((&largest, &(total, _))) = largest else { break };
-        for (index, id, _) in of_class(class_to_cut).filter(|(_, id, _)| *id == largest) {
-            if let Some(remaining) = remaining.get_mut(&(index, id)) {
-                *remaining -= step * *remaining / total;
+        let total: f64 = flows.iter().filter(|flow| flow.importance == importance).map(work).sum();
+        let cut = excess.min((total - probes).max(0.0));
+        let minimum = MIN_RANK_SHARE * (1.0 - cut / total);
+        let mut removed = 0.0;
+        while removed + step / 2.0 < cut {
+            let has_more = |rank: &u8| {
+                let kept: f64 = of_rank(*rank).map(|(index, _)| remaining[index]).sum();
+                kept - of_rank(*rank).map(|(_, flow)| work(flow)).sum::<f64>() * minimum > step
+            };
+            let Some(rank) = [1, 0].into_iter().find(has_more) else { break };
+            // The work of a customer is summed up, and all its flows shrink in proportion.
+            let mut customers: BTreeMap<u32, (f64, f64)> = BTreeMap::new();
+            for (index, flow) in of_rank(rank) {
+                customers.entry(key(flow)).or_insert((0.0, flow.weight)).0 += remaining[index];
+            }
+            let per_weight = |entry: &(f64, f64)| entry.0 / entry.1;
+            let largest =
+                customers.iter().max_by(|a, b| per_weight(a.1).total_cmp(&per_weight(b.1)));
+            let Some((&largest, &(sum, _))) = largest else { break };
+            for (index, flow) in of_rank(rank) {
+                if key(flow) == largest {
+                    remaining[index] -= step * remaining[index] / sum;
+                }
             }
+            removed += step;
         }
-        removed += step;
+        excess -= cut;
     }
-    let share = |(index, flow): (usize, &Flow)| 1.0 - remaining[&(index, key(flow))] / work(flow);
+    let share = |(index, flow): (usize, &Flow)| 1.0 - remaining[index] / work(flow);
     flows.iter().enumerate().map(share).collect()
 }
 
@@ -412,3 +412,16 @@
     assert!(report_loads(200.0, &[load(1, 0)]) < 0.5);
     assert!(report_loads(200.0, &[load(9, 0)]) > 0.85);
 }
+
+/// Guards against a customer of a low rank that is served next to nothing while the others of its class
+/// are served: half of the work is refused, and the customers of the lowest rank ask for half of it.
+#[test]
+fn no_rank_goes_without_service() {
+    let flows = [
+        Flow { rank: 0, ..flow(0, 0, Importance::Normal, 100.0) },
+        Flow { rank: 2, ..flow(0, 1, Importance::Normal, 100.0) },
+    ];
+    let shares = shed(&flows, 0.5);
+    assert!((shares[1] - 0.75).abs() < 1e-3, "{shares:?}");
+    assert!((shares[0] - 0.25).abs() < 1e-3, "{shares:?}");
+}
