Give small customers three owners, and settle changes without VMs that are gone

A customer whose burst is below ten tokens had a single owner of its rate. Two VMs were lost at 1.0 s without leaving; two others joined, and that change of the roster was never settled, since the lost VMs never acknowledge it. Until then a share is the smaller of those before and after the change, which for a single owner that moves is nothing.

Change: three owners, as far as the burst has a token for each, so that a lost or moving one costs a third; and a member that has been suspect for 10 s no longer holds a change up. A VM that is cut off for longer than that, while its share moves, may use the share twice: with three owners that is a third of a small customer's rate, within the excess and slack that the users allow for quotas; for large customers a thirty-second.

Evidence: a_small_customer_keeps_most_of_its_share_when_a_vm_is_lost and a_vm_that_is_gone_does_not_keep_a_change_pending fail before.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -352,8 +352,8 @@
 
 /// Returns the roster that this VM should write next, if any. If this VM is not in the roster, the next
 /// one adds it together with all live members that it knows of and that are not in it yet. If a change
-/// is pending that all members have acknowledged, the next one marks it as settled; the first member
-/// writes that one, and others only if the change is still pending after [`SETTLE_DELAY_CHECKS`] checks.
+/// is pending that all members have acknowledged, except for those that are gone, the next one marks it
+/// as settled; the first member writes that one, and others only if the change is still pending after [`SETTLE_DELAY_CHECKS`] checks.
 fn next_roster(board: &Board, unsettled: u32) -> Option<Roster> {
     if board.is_leaving() {
         return None;
@@ -367,11 +367,7 @@
     if unsettled == 0 || !mine {
         return None;
     }
-    board.read_view(|view| {
-        let has_roster = |record: &Record| record.epoch >= roster.epoch;
-        let informed = view.iter().map(|member| &member.record).filter(|record| has_roster(record));
-        roster.settle(&informed.map(|record| record.vm.as_str()).collect())
-    })
+    board.read_view(|view| roster.settle_among(view, now))
 }
 
 fn live_members(view: &View, now: Time) -> Members {
--- a/src/member.rs
+++ b/src/member.rs
@@ -21,6 +21,11 @@
 /// Time that a suspect VM has to refute the suspicion before it stops receiving requests.
 pub const SUSPICION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time after which a suspect VM counts as gone for good. A change of the roster then no longer waits for
+/// it. It is longer than failure domains are usually cut off; a VM that is cut off for longer while its
+/// share moves to another may use that share a second time.
+pub const GONE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Number of times that one change is forwarded, per doubling of the fleet's size.
 const FORWARDS_PER_DOUBLING: u32 = 3;
 
@@ -95,6 +100,11 @@
         self.suspect_since.is_some_and(|since| now.since(since) >= SUSPICION_TIMEOUT)
     }
 
+    /// Whether the VM has been suspect for at least [`GONE_TIMEOUT`].
+    pub fn is_gone(&self, now: Time) -> bool {
+        self.suspect_since.is_some_and(|since| now.since(since) >= GONE_TIMEOUT)
+    }
+
     /// Whether the VM is neither leaving nor unreachable.
     pub fn is_live(&self, now: Time) -> bool {
         self.record.state != State::Leaving && !self.is_unreachable(now)
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -2,8 +2,9 @@
 //!
 //! Each VM computes its own share of a customer's rate and burst from the roster, so the store is
 //! written only when VMs join or leave. A change takes effect once every VM in the roster has
-//! acknowledged it. Until then each VM uses the smaller of its shares before and after the change, so
-//! the sum of the shares never exceeds 1, even if VMs are partitioned, paused or restarted. The
+//! acknowledged it or is gone. Until then each VM uses the smaller of its shares before and after the
+//! change, so the sum of the shares never exceeds 1, even if VMs are paused, restarted, or partitioned for
+//! less than [`crate::member::GONE_TIMEOUT`]. The
 //! functions here do no I/O. docs/DESIGN.md, "Rates and bursts", gives the argument and the
 //! alternatives that were considered.
 
@@ -13,6 +14,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::era;
+use crate::member::{Member, View};
+use crate::time::Time;
 
 /// Key of the roster's row in the store.
 pub const KEY: &str = "roster/all";
@@ -21,6 +24,10 @@
 /// tokens would waste a noticeable fraction of the rate.
 const MIN_OWNER_TOKENS: f64 = 5.0;
 
+/// Minimum number of owners of a customer whose burst has a token for each. With a single one, nothing of the
+/// customer would be admitted while that VM is down, or while its share moves.
+const MIN_OWNERS: usize = 3;
+
 /// Maximum number of owners among which one customer's rate is divided.
 const MAX_OWNERS: usize = 32;
 
@@ -87,7 +94,7 @@
     }
 
     /// Marks the pending change as settled if all members are in `acknowledged`, the VMs that have
-    /// acknowledged this epoch. Returns `None` if a member is missing or no change is pending.
+    /// acknowledged this epoch or are gone. Returns `None` if a member is missing or no change is pending.
     #[must_use]
     pub fn settle(&self, acknowledged: &BTreeSet<&str>) -> Option<Self> {
         self.settled.as_ref()?;
@@ -95,6 +102,15 @@
         complete.then(|| Self { version: self.version + 1, settled: None, ..self.clone() })
     }
 
+    /// Marks the pending change as settled if every member has acknowledged it, according to the records
+    /// in `view`, or is gone.
+    #[must_use]
+    pub fn settle_among(&self, view: &View, now: Time) -> Option<Self> {
+        let counts = |member: &&Member| member.record.epoch >= self.epoch || member.is_gone(now);
+        let counted = view.iter().filter(counts).map(|member| member.record.vm.as_str());
+        self.settle(&counted.collect())
+    }
+
     /// Returns the fraction of a customer's rate and burst that `vm` may use now.
     pub fn share(&self, vm: &str, customer: &str, burst: f64) -> f64 {
         let after = share(&self.members, vm, customer, burst);
@@ -139,7 +155,8 @@
     for (vm, domain) in members {
         domains.entry(domain).or_default().push(vm);
     }
-    let max_owners = ((burst / MIN_OWNER_TOKENS) as usize).clamp(1, MAX_OWNERS);
+    let min_owners = (burst as usize).clamp(1, MIN_OWNERS);
+    let max_owners = ((burst / MIN_OWNER_TOKENS) as usize).clamp(min_owners, MAX_OWNERS);
     let mut selected: Vec<(&str, Vec<&str>)> = domains.into_iter().collect();
     selected.sort_by_key(|(domain, _)| rendezvous_hash(&[domain, customer]));
     selected.truncate(max_owners);
--- a/tests/rosters.rs
+++ b/tests/rosters.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use gypsumtack::member::{GONE_TIMEOUT, Record, State, View};
 use gypsumtack::roster::{KEY, Members, Roster};
 use gypsumtack::share::{LOAN_VALIDITY, ShareBucket};
 use gypsumtack::store::{Commit, Row, Transaction};
@@ -407,3 +408,52 @@
     let row = Row { key: KEY.to_owned(), version: 9, value };
     assert_eq!(row.decode::<Roster>(), Some(roster));
 }
+
+/// Guards against a customer of whose requests nothing is admitted: it had a single owner, and that VM was
+/// lost, or its share was moving.
+#[test]
+fn a_small_customer_keeps_most_of_its_share_when_a_vm_is_lost() {
+    let fleet = members(40);
+    let roster = Roster::default().join(&fleet).unwrap();
+    for customer in (0..50).map(|at| format!("customer-{at}")) {
+        let share = |roster: &Roster, vm: &String| roster.share(vm, &customer, 5.0);
+        let largest = fleet.keys().map(|vm| share(&roster, vm)).fold(0.0, f64::max);
+        assert!(largest < 0.4, "{customer}: one VM owns {largest}");
+        // While the owner's share moves, the other owners keep theirs.
+        let owner = fleet.keys().find(|vm| share(&roster, vm) > 0.0).unwrap();
+        let changed = roster.leave(owner).unwrap();
+        let left: f64 = fleet.keys().filter(|vm| *vm != owner).map(|vm| share(&changed, vm)).sum();
+        assert!(left > 0.3, "{customer}: {left} is left while a share moves");
+    }
+}
+
+/// Guards against a change of the roster that is pending for ever because a VM was lost without leaving.
+#[test]
+fn a_vm_that_is_gone_does_not_keep_a_change_pending() {
+    let mut view = View::default();
+    let record = Record {
+        vm: "vm-1".to_owned(),
+        incarnation: 1,
+        counter: 1,
+        state: State::Ready,
+        suspect: false,
+        domain: "a".to_owned(),
+        service: String::new(),
+        slots: 1,
+        sheds: false,
+        epoch: 0,
+        peers: ([127, 0, 0, 1], 1).into(),
+        control: ([127, 0, 0, 1], 2).into(),
+        operators: ([127, 0, 0, 1], 3).into(),
+    };
+    let now = Time::from_millis(1_000);
+    let first = Roster::default().join(&members(1)).unwrap();
+    let pending = first.join(&Members::from([("vm-1".to_owned(), "a".to_owned())])).unwrap();
+    let informed = Record { vm: "vm-000".to_owned(), epoch: pending.epoch, ..record.clone() };
+    view.merge(informed, now);
+    view.merge(record, now);
+    assert_eq!(pending.settle_among(&view, now + GONE_TIMEOUT), None, "vm-1 is alive");
+    view.mark_suspect("vm-1", now);
+    assert_eq!(pending.settle_among(&view, now + GONE_TIMEOUT / 2), None);
+    assert!(pending.settle_among(&view, now + GONE_TIMEOUT).is_some());
+}
