Recognize a returning caller only after the time that it was told to wait

Change: a caller that comes back before it was told to counts as new.

Evidence: a_caller_that_comes_back_early_gains_nothing fails before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -166,10 +166,11 @@
         return Ok(());
     }
     let (key, draw) = (return_key(context.customer, message), rand::rng().random());
-    if !lock(&board.feedback.returns).refuses(route_id.index(), key, share, draw, now) {
+    let wait = retry_after(route, context.deadline.since(now));
+    let mut returns = lock(&board.feedback.returns);
+    if !returns.refuses(route_id.index(), key, share, draw, (now, wait)) {
         return Ok(());
     }
-    let wait = retry_after(route, context.deadline.since(now));
     Err(Reason::Overloaded {
         refused_pct: (share * 100.0) as u64,
         wait_ms: wait.as_millis() as u64,
--- a/src/returns.rs
+++ b/src/returns.rs
@@ -4,7 +4,8 @@
 //! was told to would be refused again with the same probability, and most callers try only twice. The
 //! entry therefore recognizes returning requests and admits them, and refuses correspondingly more new
 //! ones, so that as many requests are admitted, but fewer callers leave with nothing. The module does no
-//! I/O and reads no clock. docs/POLICY.md names the load that this answers.
+//! I/O and reads no clock. A caller that comes back earlier than it was told to counts as new, so that
+//! nobody gains by repeating at once. docs/POLICY.md names the load that this answers.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -32,6 +33,7 @@
 /// The requests that an entry has refused lately, and how many of them return.
 #[derive(Debug, Default)]
 pub struct Returns {
+    /// When the caller of each was told to come back.
     refused: BTreeMap<ReturnKey, Time>,
     by_age: VecDeque<(Time, ReturnKey)>,
     /// Fraction of the requests of each class that return.
@@ -48,17 +50,18 @@
 
 impl Returns {
     /// Decides whether to refuse a request of `route`, of whose class the share `refused_share` is to be
-    /// refused. `draw` is a random number from 0 to 1.
+    /// refused. `draw` is a random number from 0 to 1, and `wait` the time after which the caller will be
+    /// told to come back if it is refused.
     pub fn refuses(
         &mut self,
         route: usize,
         key: ReturnKey,
         refused_share: f32,
         draw: f32,
-        now: Time,
+        (now, wait): (Time, Duration),
     ) -> bool {
         self.forget_old(now);
-        let is_returning = self.refused.remove(&key).is_some();
+        let is_returning = self.refused.get(&key).is_some_and(|due| now >= *due);
         let fraction = self.fractions.entry(route).or_default();
         let returning = fraction.record(is_returning, now).min(MAX_RETURNING);
         // Requests that return are admitted up to the share of the class that is to be admitted.
@@ -71,19 +74,22 @@
         };
         let refuses = draw < refused_share;
         if refuses {
-            self.remember(key, now);
+            self.remember(key, now + wait, now);
+        } else {
+            self.refused.remove(&key);
         }
         refuses
     }
 
-    fn remember(&mut self, key: ReturnKey, now: Time) {
+    fn remember(&mut self, key: ReturnKey, due: Time, now: Time) {
         if self.by_age.len() >= MAX_REFUSED
             && let Some((_, oldest)) = self.by_age.pop_front()
         {
             self.refused.remove(&oldest);
         }
-        self.refused.insert(key, now);
-        self.by_age.push_back((now, key));
+        if self.refused.insert(key, due).is_none() {
+            self.by_age.push_back((now, key));
+        }
     }
 
     fn forget_old(&mut self, now: Time) {
@@ -92,9 +98,7 @@
                 return;
             }
             self.by_age.pop_front();
-            if self.refused.get(&key) == Some(&refused) {
-                self.refused.remove(&key);
-            }
+            self.refused.remove(&key);
         }
     }
 }
--- a/tests/returns.rs
+++ b/tests/returns.rs
@@ -33,12 +33,11 @@
         // An entry that does not recognize callers sees a new request each time.
         let key = ReturnKey(if recognizes { caller } else { rng.random() });
         outcome.requests += 1.0;
-        let draw = rng.random();
-        if !returns.refuses(0, key, refused_share, draw, Time::from_millis(ms)) {
+        let (draw, wait) = (rng.random(), Duration::from_millis(rng.random_range(300..750)));
+        if !returns.refuses(0, key, refused_share, draw, (Time::from_millis(ms), wait)) {
             outcome.admitted += 1.0;
             outcome.served += 1.0;
         } else if first {
-            let wait = Duration::from_millis(rng.random_range(300..750));
             arrivals.push(Reverse((ms + wait.as_millis() as u64, caller, false)));
         }
     }
@@ -95,3 +94,19 @@
     let outcome = simulate(20.0, 0.0, 1, true);
     assert_eq!(outcome.admitted, outcome.requests);
 }
+
+/// Guards against callers that repeat at once and often, and so get the places of those who wait as they
+/// were told to.
+#[test]
+fn a_caller_that_comes_back_early_gains_nothing() {
+    let mut returns = Returns::default();
+    let wait = Duration::from_millis(500);
+    let mut refuses = |key: u64, draw: f32, ms: u64| {
+        returns.refuses(0, ReturnKey(key), 0.5, draw, (Time::from_millis(ms), wait))
+    };
+    for key in 0..20 {
+        assert!(refuses(key, 0.0, 1_000), "a new caller with the lowest draw is refused");
+    }
+    assert!(refuses(1, 0.3, 1_100), "it was told to come back after 500 ms");
+    assert!(!refuses(2, 0.3, 1_500), "it comes back as it was told to");
+}
