Forward at once that a VM no longer accepts requests

What callers would see at this size: requests that are sent to a VM for seconds after it has said that it leaves.

Cause: a daemon that learned of a change waited for its next regular round, a second on average, before it forwarded it, whatever the comment on UPDATE_PEERS said.

Change: a record by which a ready VM stops accepting requests is forwarded at once, to as many peers as the VM itself tells. Other changes wait for regular rounds as before, so that the start of a fleet does not make every daemon forward hundreds of records.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -24,8 +24,9 @@
 /// Peers per regular round of heartbeats, in the local failure domain and in others.
 const HEARTBEAT_PEERS: (usize, usize) = (2, 1);
 
-/// Peers per round of heartbeats after a change. Each daemon that receives a change forwards it to as
-/// many, so it reaches nearly all daemons in a few exchanges; regular rounds bring it to the rest.
+/// Peers per round of heartbeats after a change. Each daemon that learns of a VM that no longer accepts
+/// requests forwards that to as many, so it reaches nearly all daemons in a few exchanges; regular
+/// rounds bring it to the rest, and carry all other changes.
 const UPDATE_PEERS: (usize, usize) = (4, 2);
 
 /// Delay before a change is sent, so that one round carries a burst of changes.
--- a/src/member.rs
+++ b/src/member.rs
@@ -144,6 +144,24 @@
         true
     }
 
+    /// Merges the records of a heartbeat. Returns whether one of them says that a VM no longer accepts
+    /// requests. That has to be forwarded at once: with regular heartbeats alone it would take seconds
+    /// until the last of some hundred VMs sends it no more requests.
+    pub fn merge_heartbeat(
+        &mut self,
+        records: impl IntoIterator<Item = Record>,
+        now: Time,
+    ) -> bool {
+        let mut urgent = false;
+        for record in records {
+            let was_ready =
+                self.members.get(&record.vm).is_some_and(|old| old.record.state == State::Ready);
+            let stops = was_ready && record.state != State::Ready;
+            urgent |= self.merge(record, now) && stops;
+        }
+        urgent
+    }
+
     /// Marks a VM as suspect because it could not be reached. The VM refutes the suspicion by
     /// publishing a record with a higher counter. Returns whether the record changed.
     pub fn mark_suspect(&mut self, vm: &str, now: Time) -> bool {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -389,11 +389,9 @@
     let records = std::iter::once(heartbeat.record).chain(heartbeat.rumors);
     let (own, others): (Vec<_>, Vec<_>) = records.partition(|record| record.vm == *me);
     let suspected = own.iter().any(|r| r.suspect && r.incarnation == board.incarnation);
-    board.update_view(|view, now| {
-        for record in others {
-            view.merge(record, now);
-        }
-    });
+    if board.update_view(|view, now| view.merge_heartbeat(others, now)) {
+        board.heartbeat_due.notify_one();
+    }
     if !heartbeat.suspects.is_empty() {
         board.update_quarantine(|quarantine, now| quarantine.merge(&heartbeat.suspects, now));
     }
