Split the reading and the writing of requests from the callers' listener

What is read of a request, with its timeouts, moves to pipeline/reading.rs, and the writing of responses to pipeline/response.rs.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -5,27 +5,29 @@
 //! Requests of callers that pipeline would then wait for unrelated earlier ones. docs/DESIGN.md,
 //! "Listeners", has the measurement.
 
+mod reading;
+mod response;
+
 use std::collections::VecDeque;
-use std::fmt::Write as _;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::future::BoxFuture;
-use http::header::{CONNECTION, CONTENT_LENGTH};
-use http::{HeaderValue, Method, StatusCode};
+use http::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::body::{BodyMemory, BodyReader, Progress, Reservation, UNRESERVED_BYTES};
+use self::reading::{CompleteRequest, PartialRequest, ReadState, WantedMemory};
+use self::response::write_response;
+use crate::body::{BodyMemory, Progress, Reservation, UNRESERVED_BYTES};
 use crate::chunked::ChunkError;
 use crate::dialect::Dialect;
 use crate::envelope::RequestId;
 use crate::head::{Framing, Head, Malformed};
-use crate::message::{Answer, Message, Response};
+use crate::message::{Answer, Message};
 use crate::reason::{Outcome, Reason};
 use crate::server::{Bounds, REFUSAL_TIMEOUT, accept};
 use crate::time::{Clock, Time};
@@ -134,42 +136,6 @@
     hooks: Hooks<H, B, D>,
 }
 
-/// The state of the request that is being read.
-enum ReadState {
-    /// Its head is not complete; what has arrived of it is in the input buffer.
-    Head,
-    /// Its body is not complete.
-    Body(Box<PartialRequest>),
-    /// It is complete, and starts once all earlier requests have been answered.
-    Complete(Box<CompleteRequest>),
-}
-
-/// A request whose body is not complete.
-struct PartialRequest {
-    head: Head,
-    body: BodyReader,
-    /// When the head was complete.
-    received: Time,
-    /// Whether the caller still has to be told to send the body.
-    continue_due: bool,
-    /// The memory that the body needs next. Until it is available, the connection is not read.
-    wanted: Option<WantedMemory>,
-}
-
-/// Memory for a body that is not available yet.
-struct WantedMemory {
-    bytes: usize,
-    reservation: BoxFuture<'static, Reservation>,
-}
-
-/// A request that can start.
-struct CompleteRequest {
-    message: Message,
-    received: Time,
-    /// The memory of the body, held until the request is answered.
-    reservations: Vec<OwnedSemaphorePermit>,
-}
-
 /// A request whose answer has not been written yet.
 struct Pending {
     id: RequestId,
@@ -382,13 +348,7 @@
         if matches!(head.framing, Framing::Length(length) if length > bounds.body_bytes) {
             return self.refuse(too_large(bounds));
         }
-        self.read_state = ReadState::Body(Box::new(PartialRequest {
-            body: BodyReader::new(head.framing),
-            continue_due: head.expects_continue,
-            received: self.clock.now(),
-            wanted: None,
-            head,
-        }));
+        self.read_state = ReadState::Body(Box::new(PartialRequest::new(head, self.clock.now())));
     }
 
     /// Reads the body from the input. Returns whether it is complete.
@@ -469,20 +429,13 @@
 
     fn grant_memory(&mut self, reservation: Reservation) {
         if let ReadState::Body(partial) = &mut self.read_state {
-            let wanted = partial.wanted.take();
-            partial.body.grant(wanted.map_or(0, |wanted| wanted.bytes), reservation);
+            partial.grant(reservation);
         }
     }
 
-    /// The time after `last_progress` at which the body that is being read is given up: its next part
-    /// has to arrive within the timeout of a head, and the whole within that of an idle connection.
     fn body_timeout(&self, bounds: Bounds, last_progress: Time) -> Option<Duration> {
         let ReadState::Body(partial) = &self.read_state else { return None };
-        if partial.wanted.is_some() {
-            return Some(bounds.idle_timeout);
-        }
-        let end = partial.received + bounds.idle_timeout;
-        Some(bounds.header_timeout.min(end.since(last_progress)))
+        Some(partial.timeout(bounds, last_progress))
     }
 
     fn refuse_slow_body(&mut self) {
@@ -554,28 +507,3 @@
     let problem = format!("the body is larger than {} bytes", bounds.body_bytes);
     Reason::BadRequest { problem }
 }
-
-fn write_response(output: &mut BytesMut, response: Response, bodiless: bool, closes: bool) {
-    let (mut parts, body) = response.into_parts();
-    if closes {
-        parts.headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    let status_without_body =
-        matches!(parts.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if !bodiless && !status_without_body {
-        parts.headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
-    }
-    let reason = parts.status.canonical_reason().unwrap_or_default();
-    // Writing to memory cannot fail.
-    let _ = write!(output, "HTTP/1.1 {} {reason}\r\n", parts.status.as_u16());
-    for (name, value) in &parts.headers {
-        output.extend_from_slice(name.as_str().as_bytes());
-        output.extend_from_slice(b": ");
-        output.extend_from_slice(value.as_bytes());
-        output.extend_from_slice(b"\r\n");
-    }
-    output.extend_from_slice(b"\r\n");
-    if !bodiless && !status_without_body {
-        output.extend_from_slice(&body);
-    }
-}
