Count and log answers that do not have the id of their request

The line unmatched-answer and the metric unmatched_answers tell them apart. The decision itself is Echo::of, without a network; the dialect says whether backend servers return ids. Nothing is decided from it yet.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -9,6 +9,7 @@
 use crate::board::Board;
 use crate::connection::{RequestError, WholeAnswer};
 use crate::document::{CustomerId, Policy};
+use crate::echo::Echo;
 use crate::envelope::{Envelope, Load, ReachedService, Report, RequestTiming};
 use crate::gate::Permit;
 use crate::guard::SlotRequest;
@@ -306,6 +307,10 @@
 ) -> Answer {
     let dialect = &shared.dialect;
     let request = live.envelope.request.clone();
+    let echo = Echo::of(dialect, &request, &headers);
+    if echo != Echo::Own {
+        shared.board.record_unmatched(dialect, &request, echo, status, &headers);
+    }
     let misdirected = dialect.instance.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
     let unsealed = dialect.seal.as_ref().is_some_and(|name| !headers.contains_key(name));
     let refused = dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name));
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -26,6 +26,8 @@
     pub request_id: HeaderName,
     /// Whether callers choose the request ids. Otherwise the entry generates them.
     pub caller_chosen_ids: bool,
+    /// Whether backend servers return the request id in their answers.
+    pub echoes_id: bool,
     /// The time left until the deadline, in milliseconds.
     pub deadline: HeaderName,
     /// The token of a request in flight, sent to the local backend server and returned in its
@@ -63,6 +65,7 @@
             bearer: true,
             request_id: message::REQUEST_ID,
             caller_chosen_ids: false,
+            echoes_id: false,
             deadline: message::DEADLINE,
             token: Some(message::REQUEST_TOKEN),
             customer: None,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod demand;
 pub mod dialect;
 pub mod document;
+pub mod echo;
 pub mod egress;
 pub mod entry;
 pub mod envelope;
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -5,12 +5,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::{HeaderMap, StatusCode};
+
 use crate::announcement::BackendServer;
 use crate::board::Board;
+use crate::dialect::Dialect;
 use crate::document::Importance;
-use crate::envelope::{Load, ReachedService};
+use crate::echo::Echo;
+use crate::envelope::{Load, ReachedService, RequestId};
 use crate::log::LOG_INTERVAL;
-use crate::metrics::WaitLabels;
+use crate::metrics::{UnmatchedLabels, WaitLabels};
 use crate::notices::{NamedLimit, Noticed, Notices};
 use crate::overload::{Capacity, DemandReport, OverloadStatus};
 use crate::pipeline::Delivery;
@@ -137,6 +141,38 @@
         }
     }
 
+    /// Counts and logs an answer of the local backend server that does not belong to the request for which
+    /// it was read.
+    pub fn record_unmatched(
+        &self,
+        dialect: &Dialect,
+        request: &RequestId,
+        echo: Echo,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        let has = |name: &Option<_>| name.as_ref().is_some_and(|name| headers.contains_key(name));
+        let refusal = has(&dialect.not_run);
+        let labels =
+            UnmatchedLabels { id: echo.as_str(), refusal: if refusal { "yes" } else { "no" } };
+        self.metrics.unmatched.get_or_create(&labels).inc();
+        let Some(weight) = self.log_sampler.weigh("unmatched-answer", self.clock.now()) else {
+            return;
+        };
+        let echoed = headers.get(&dialect.request_id).and_then(RequestId::from_header);
+        tracing::warn!(
+            event = "unmatched-answer",
+            weight,
+            vm = self.settings.vm,
+            %request,
+            id = echo.as_str(),
+            echoed = echoed.as_ref().map(tracing::field::display),
+            status = status.as_u16(),
+            refusal,
+            sealed = has(&dialect.seal),
+        );
+    }
+
     /// Completes an announcement with what the answers of the same run have told. What those of an earlier
     /// run have told is forgotten.
     pub(crate) fn with_notices(&self, backend: BackendServer) -> BackendServer {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,6 +49,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of an answer of the local backend server that does not belong to the request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnmatchedLabels {
+    /// What the request id in it says; see [`crate::echo::Echo`].
+    pub id: &'static str,
+    /// Whether it says that a request was not run.
+    pub refusal: &'static str,
+}
+
 /// Labels of a queue wait.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct WaitLabels {
@@ -65,6 +74,8 @@
     pub retries: Family<RetryLabels, Counter>,
     /// Refusals at the local guard.
     pub refusals: Family<GuardLabels, Counter>,
+    /// Answers of the local backend server that do not belong to the request.
+    pub unmatched: Family<UnmatchedLabels, Counter>,
     /// Seconds from the arrival of a request to its answer.
     pub request_seconds: Histogram,
     /// Seconds that requests waited for a slot of the local backend server.
@@ -109,6 +120,7 @@
             requests: Family::default(),
             retries: Family::default(),
             refusals: Family::default(),
+            unmatched: Family::default(),
             request_seconds: duration_histogram(),
             queue_waits: Family::new_with_constructor(duration_histogram),
             timer_lag: duration_histogram(),
@@ -139,6 +151,11 @@
         registry.register("requests", "Requests that entered here", self.requests.clone());
         registry.register("retries", "Attempts after the first", self.retries.clone());
         registry.register("refusals", "Refusals at the guard", self.refusals.clone());
+        registry.register(
+            "unmatched_answers",
+            "Answers of the backend server that belong to no request or another one",
+            self.unmatched.clone(),
+        );
         registry.register(
             "request_seconds",
             "Time from entry to answer",
