Decide whose answer it is before anything is taken from it

Cause: classify_response looked at the not-run header and at 421 before it compared the request id, and the connection was back in the pool before that. After one extra answer every later answer on the connection was one too early, and each refusal among them was taken for that of the next request. Notices and the state "refuses everything" were taken from such answers as well.

Now the pool asks whether the head of an answer belongs to its request (Echo::of) before it reads on. If not, the connection ends, the outcome is unknown, and nothing else is taken from the answer. An answer without an id or with two is not believed either; docs/DESIGN.md, "Answers of backend servers", weighs that. The check for an id of another request in classify_response moves there.

tests/connections.rs passes the new argument of send_request; its checks are unchanged. Whether the users' machines met this cause is for their logs to tell.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::announcement::BackendServer;
 use crate::board::Board;
@@ -248,11 +248,20 @@
     let headers = daemon_headers(shared, backend, entry, time_left);
     let limit = shared.board.policy.load().limits.answer_bytes;
     let is_idempotent = !live.envelope.claimed;
+    // Decided before anything is taken from the answer, and before its connection is used again.
+    let matches = |status: StatusCode, headers: &HeaderMap| {
+        let echo = Echo::of(&shared.dialect, &request, headers);
+        if echo != Echo::Own {
+            shared.board.record_unmatched(&shared.dialect, &request, echo, status, headers);
+        }
+        echo == Echo::Own
+    };
     let response = shared.server.send_request(
         backend.address,
         message.into_request(headers),
         is_idempotent,
         limit,
+        matches,
     );
     match tokio::time::timeout(time_left, response).await {
         Ok(Ok(answer)) => classify_response(shared, backend, live, answer),
@@ -298,7 +307,7 @@
 }
 
 /// Distinguishes the backend server's answer to this request from a refusal by the backend server, and
-/// from a response that belongs to another request or comes from another process.
+/// from a response that comes from another process.
 fn classify_response(
     shared: &Shared,
     backend: &BackendServer,
@@ -307,10 +316,6 @@
 ) -> Answer {
     let dialect = &shared.dialect;
     let request = live.envelope.request.clone();
-    let echo = Echo::of(dialect, &request, &headers);
-    if echo != Echo::Own {
-        shared.board.record_unmatched(dialect, &request, echo, status, &headers);
-    }
     let misdirected = dialect.instance.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
     let unsealed = dialect.seal.as_ref().is_some_and(|name| !headers.contains_key(name));
     let refused = dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name));
@@ -326,11 +331,8 @@
         answer.report.leaving = leaving;
         return answer;
     }
-    let echoed_id = headers.get(&dialect.request_id);
-    let mismatched = dialect.caller_chosen_ids
-        && echoed_id.is_some_and(|echoed_id| *echoed_id != request.to_header());
-    if unsealed || mismatched {
-        let problem = format!("the backend server's answer belongs to no request ({status})");
+    if unsealed {
+        let problem = format!("the backend server's answer has no seal ({status})");
         return Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem });
     }
     message::strip_headers(&mut headers, &shared.private);
@@ -362,6 +364,10 @@
         RequestError::Broken(error) => {
             (Outcome::Unknown, format!("the backend server broke off ({error})"))
         }
+        RequestError::Unmatched(status) => {
+            let problem = format!("the backend server's answer belongs to no request ({status})");
+            (Outcome::Unknown, problem)
+        }
         RequestError::Incomplete(error) => {
             (Outcome::Unknown, format!("the backend server's answer is bad: {error}"))
         }
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -6,6 +6,9 @@
 //! That cannot be told from a server that ran the request and lost the answer, so the request is not sent
 //! again here: whoever sent it decides, within the [retry budget](crate::retry). Requests that must not
 //! run twice only use a connection whose last use is at most `MAX_REUSE_AGE` ago.
+//!
+//! A connection is kept only after an answer that belongs to its request. After one that does not, every
+//! later answer could be that of an earlier request.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -54,6 +57,8 @@
     /// A reused connection was closed or reset before an answer. The backend server may have dropped it
     /// while it was idle.
     Disconnected(String),
+    /// The answer with this status does not belong to the request. The request may have run.
+    Unmatched(StatusCode),
     /// The head of the answer arrived, but its body could not be read in full or is over the limit.
     Incomplete(String),
 }
@@ -87,8 +92,8 @@
         Self { clock, idle: Arc::default() }
     }
 
-    /// Sends a request once and reads its whole answer, whose body may have up to `limit` bytes. Only an
-    /// idempotent one uses connections that have been idle for long, since it can be tried elsewhere if
+    /// Sends a request once and reads its whole answer, whose body may have up to `limit` bytes. `matches`
+    /// decides from the head of the answer whether it belongs to the request. Only an idempotent one uses connections that have been idle for long, since it can be tried elsewhere if
     /// the backend server has dropped the connection.
     ///
     /// # Errors
@@ -101,6 +106,7 @@
         request: Request,
         is_idempotent: bool,
         limit: u64,
+        matches: impl Fn(StatusCode, &HeaderMap) -> bool,
     ) -> Result<WholeAnswer, RequestError> {
         let mut request = request;
         let has_long_body = request.body().size_hint().lower() >= LONG_BODY_BYTES;
@@ -108,7 +114,7 @@
         while let Some(mut sender) = self.take(address, is_idempotent) {
             match sender.try_send_request(request).await {
                 Ok(response) => {
-                    let (answer, sender) = read_answer(sender, response, limit).await?;
+                    let (answer, sender) = read_answer(sender, response, limit, matches).await?;
                     self.keep(address, sender, &answer.1, has_long_body).await;
                     return Ok(answer);
                 }
@@ -121,7 +127,7 @@
         let mut sender = connect(address).await.map_err(RequestError::Unsent)?;
         match sender.try_send_request(request).await {
             Ok(response) => {
-                let (answer, sender) = read_answer(sender, response, limit).await?;
+                let (answer, sender) = read_answer(sender, response, limit, matches).await?;
                 self.keep(address, sender, &answer.1, has_long_body).await;
                 Ok(answer)
             }
@@ -180,8 +186,12 @@
     sender: SendRequest<Full<Bytes>>,
     response: http::Response<Incoming>,
     limit: u64,
+    matches: impl Fn(StatusCode, &HeaderMap) -> bool,
 ) -> Result<(WholeAnswer, SendRequest<Full<Bytes>>), RequestError> {
     let (parts, body) = response.into_parts();
+    if !matches(parts.status, &parts.headers) {
+        return Err(RequestError::Unmatched(parts.status));
+    }
     let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
     Ok(((parts.status, parts.headers, body), sender))
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -11,7 +11,7 @@
 use gypsumtack::message::Request;
 use gypsumtack::time::Clock;
 use http::header::HOST;
-use http::{HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -54,9 +54,15 @@
         .unwrap()
 }
 
+/// Takes every answer for the one of the request.
+fn any(_: StatusCode, _: &HeaderMap) -> bool {
+    true
+}
+
 /// Opens `count` connections, which then are idle.
 async fn open_idle(connections: &Connections, address: SocketAddr, count: usize) {
-    let requests = (0..count).map(|_| connections.send_request(address, request(), true, LIMIT));
+    let requests =
+        (0..count).map(|_| connections.send_request(address, request(), true, LIMIT, any));
     for answer in futures::future::join_all(requests).await {
         assert_eq!(&answer.unwrap().2[..], b"ok");
     }
@@ -68,7 +74,7 @@
     let (address, dropped) = start_dropping_backend().await;
     let connections = Connections::new(Clock::start());
     open_idle(&connections, address, 8).await;
-    let error = connections.send_request(address, request(), true, LIMIT).await.unwrap_err();
+    let error = connections.send_request(address, request(), true, LIMIT, any).await.unwrap_err();
     assert!(matches!(error, RequestError::Disconnected(_)), "{error:?}");
     assert_eq!(dropped.load(Ordering::Relaxed), 1, "the backend server got it more than once");
 }
@@ -80,7 +86,7 @@
     let (address, dropped) = start_dropping_backend().await;
     let connections = Connections::new(Clock::start());
     for _ in 0..3 {
-        let answer = connections.send_request(address, request(), false, LIMIT).await.unwrap();
+        let answer = connections.send_request(address, request(), false, LIMIT, any).await.unwrap();
         assert_eq!(&answer.2[..], b"ok");
         tokio::time::sleep(Duration::from_millis(300)).await;
     }
@@ -93,8 +99,8 @@
 async fn non_resendable_request_is_not_sent_again() {
     let (address, dropped) = start_dropping_backend().await;
     let connections = Connections::new(Clock::start());
-    connections.send_request(address, request(), false, LIMIT).await.unwrap();
-    let error = connections.send_request(address, request(), false, LIMIT).await.unwrap_err();
+    connections.send_request(address, request(), false, LIMIT, any).await.unwrap();
+    let error = connections.send_request(address, request(), false, LIMIT, any).await.unwrap_err();
     assert!(matches!(error, RequestError::Disconnected(_)), "{error:?}");
     assert_eq!(dropped.load(Ordering::Relaxed), 1);
 }
@@ -138,7 +144,7 @@
         (request(Method::POST, vec![b'v'; length]), "early"),
         (request(Method::GET, Vec::new()), "other"),
     ] {
-        let answer = connections.send_request(address, request, false, 100);
+        let answer = connections.send_request(address, request, false, 100, any);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
         let (_, _, body) = answer.expect("the answer waits for the body").unwrap();
         assert_eq!(body, expected);
