Do not reuse a connection on which bytes have arrived behind an answer

With request ids that ends as unknown; without, as a wrong success or a wrong refusal.

Cause: the pool is last in, first out, and asks hyper's handle only whether the connection is closed. hyper learns of input when its task is polled next. A request that is handed over before that is sent, and the leftover is read as its answer.

Now the pool keeps a second handle of the socket and peeks at it, without blocking, before it reuses the connection: unread input or an end of stream means that it is dropped, unused. What arrives after the request was sent is for the request id to tell.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -7,11 +7,13 @@
 //! again here: whoever sent it decides, within the [retry budget](crate::retry). Requests that must not
 //! run twice only use a connection whose last use is at most `MAX_REUSE_AGE` ago.
 //!
-//! A connection is kept only after an answer that belongs to its request. After one that does not, every
-//! later answer could be that of an earlier request.
+//! A connection is kept only after an answer that belongs to its request, and used again only if nothing
+//! has arrived behind that answer. Otherwise every later answer could be that of an earlier request.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::os::fd::AsFd;
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -81,7 +83,7 @@
 #[derive(Debug)]
 struct Idle {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     last_used: Time,
     expires: Time,
 }
@@ -111,11 +113,11 @@
         let mut request = request;
         let has_long_body = request.body().size_hint().lower() >= LONG_BODY_BYTES;
         // An idle connection may have just been closed. hyper then returns the request unsent.
-        while let Some(mut sender) = self.take(address, is_idempotent) {
-            match sender.try_send_request(request).await {
+        while let Some(mut connection) = self.take(address, is_idempotent) {
+            match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let (answer, sender) = read_answer(sender, response, limit, matches).await?;
-                    self.keep(address, sender, &answer.1, has_long_body).await;
+                    let answer = read_answer(response, limit, matches).await?;
+                    self.keep(address, connection, &answer.1, has_long_body).await;
                     return Ok(answer);
                 }
                 Err(mut error) => match error.take_message() {
@@ -124,11 +126,11 @@
                 },
             }
         }
-        let mut sender = connect(address).await.map_err(RequestError::Unsent)?;
-        match sender.try_send_request(request).await {
+        let mut connection = Connection::open(address).await.map_err(RequestError::Unsent)?;
+        match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                let (answer, sender) = read_answer(sender, response, limit, matches).await?;
-                self.keep(address, sender, &answer.1, has_long_body).await;
+                let answer = read_answer(response, limit, matches).await?;
+                self.keep(address, connection, &answer.1, has_long_body).await;
                 Ok(answer)
             }
             Err(mut error) => match error.take_message() {
@@ -144,7 +146,7 @@
     async fn keep(
         &self,
         address: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut connection: Connection,
         headers: &HeaderMap,
         has_long_body: bool,
     ) {
@@ -154,9 +156,10 @@
         let (clock, idle) = (self.clock, Arc::clone(&self.idle));
         let timeout = idle_timeout(headers);
         let returned = async move {
-            if sender.ready().await.is_ok() {
+            if connection.sender.ready().await.is_ok() {
                 let last_used = clock.now();
-                lock(&idle).push(Idle { address, sender, last_used, expires: last_used + timeout });
+                let expires = last_used + timeout;
+                lock(&idle).push(Idle { address, connection, last_used, expires });
             }
         };
         match has_long_body {
@@ -167,15 +170,60 @@
 
     /// Removes and returns the most recently used connection that is still usable. For a request that is
     /// not idempotent, its last use has to be at most `MAX_REUSE_AGE` ago.
-    fn take(&self, address: SocketAddr, is_idempotent: bool) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr, is_idempotent: bool) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = lock(&self.idle);
         idle.retain(|idle| {
-            idle.address == address && idle.expires > now && !idle.sender.is_closed()
+            idle.address == address && idle.expires > now && !idle.connection.sender.is_closed()
         });
-        let recent =
-            idle.pop_if(|recent| is_idempotent || now.since(recent.last_used) <= MAX_REUSE_AGE);
-        recent.map(|idle| idle.sender)
+        let is_recent =
+            |idle: &mut Idle| is_idempotent || now.since(idle.last_used) <= MAX_REUSE_AGE;
+        while let Some(recent) = idle.pop_if(is_recent) {
+            if recent.connection.is_quiet() {
+                return Some(recent.connection);
+            }
+        }
+        None
+    }
+}
+
+/// An open connection to the backend server.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// The socket, which the task that drives the connection owns.
+    socket: Weak<std::net::TcpStream>,
+}
+
+impl Connection {
+    async fn open(address: SocketAddr) -> Result<Self, String> {
+        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let socket = stream.as_fd().try_clone_to_owned().map_err(|error| error.to_string())?;
+        let socket = Arc::new(std::net::TcpStream::from(socket));
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| message::error_chain(&error))?;
+        let opened = Self { sender, socket: Arc::downgrade(&socket) };
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                let error = message::error_chain(&error);
+                tracing::debug!(event = "backend-connection-ended", error);
+            }
+            drop(socket);
+        });
+        Ok(opened)
+    }
+
+    /// Whether the socket is open and has no unread input. hyper may not have looked at it since the last
+    /// answer, and would take the input for the answer to the next request.
+    fn is_quiet(&self) -> bool {
+        let Some(socket) = self.socket.upgrade() else { return false };
+        let peeked = socket.peek(&mut [0]);
+        let is_quiet = peeked.as_ref().is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        if !is_quiet {
+            tracing::debug!(event = "backend-connection-not-quiet", ?peeked);
+        }
+        is_quiet
     }
 }
 
@@ -183,33 +231,16 @@
 pub type WholeAnswer = (StatusCode, HeaderMap, Bytes);
 
 async fn read_answer(
-    sender: SendRequest<Full<Bytes>>,
     response: http::Response<Incoming>,
     limit: u64,
     matches: impl Fn(StatusCode, &HeaderMap) -> bool,
-) -> Result<(WholeAnswer, SendRequest<Full<Bytes>>), RequestError> {
+) -> Result<WholeAnswer, RequestError> {
     let (parts, body) = response.into_parts();
     if !matches(parts.status, &parts.headers) {
         return Err(RequestError::Unmatched(parts.status));
     }
     let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
-    Ok(((parts.status, parts.headers, body), sender))
-}
-
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-    stream.set_nodelay(true).map_err(|error| error.to_string())?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|error| message::error_chain(&error))?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(
-                event = "backend-connection-ended",
-                error = message::error_chain(&error)
-            );
-        }
-    });
-    Ok(sender)
+    Ok((parts.status, parts.headers, body))
 }
 
 fn closes_connection(headers: &HeaderMap) -> bool {
