Believe an answer without an id on a new connection

With the check before, each answer without a request id ended as unknown, also the first one on its connection. A backend server that refuses every request before it has read the headers could then never be heard: no retry elsewhere without budget, no state "refuses everything", 502 for requests that must not run twice.

On a connection that has carried nothing before there is no earlier request that an answer could be about, so such an answer is the request's own. The log line and the metric name the case missing-first, so that a record shows whether backend servers do that.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderName, HeaderValue, StatusCode};
 
 use crate::announcement::BackendServer;
 use crate::board::Board;
-use crate::connection::{RequestError, WholeAnswer};
+use crate::connection::{AnswerHead, RequestError, WholeAnswer};
 use crate::document::{CustomerId, Policy};
 use crate::echo::Echo;
 use crate::envelope::{Envelope, Load, ReachedService, Report, RequestTiming};
@@ -249,12 +249,12 @@
     let limit = shared.board.policy.load().limits.answer_bytes;
     let is_idempotent = !live.envelope.claimed;
     // Decided before anything is taken from the answer, and before its connection is used again.
-    let matches = |status: StatusCode, headers: &HeaderMap| {
-        let echo = Echo::of(&shared.dialect, &request, headers);
+    let matches = |head: &AnswerHead<'_>| {
+        let echo = Echo::of(&shared.dialect, &request, head);
         if echo != Echo::Own {
-            shared.board.record_unmatched(&shared.dialect, &request, echo, status, headers);
+            shared.board.record_unmatched(&shared.dialect, &request, echo, head);
         }
-        echo == Echo::Own
+        echo.is_own()
     };
     let response = shared.server.send_request(
         backend.address,
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -108,7 +108,7 @@
         request: Request,
         is_idempotent: bool,
         limit: u64,
-        matches: impl Fn(StatusCode, &HeaderMap) -> bool,
+        matches: impl Fn(&AnswerHead<'_>) -> bool,
     ) -> Result<WholeAnswer, RequestError> {
         let mut request = request;
         let has_long_body = request.body().size_hint().lower() >= LONG_BODY_BYTES;
@@ -116,7 +116,7 @@
         while let Some(mut connection) = self.take(address, is_idempotent) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let answer = read_answer(response, limit, matches).await?;
+                    let answer = read_answer(response, limit, false, matches).await?;
                     self.keep(address, connection, &answer.1, has_long_body).await;
                     return Ok(answer);
                 }
@@ -129,7 +129,7 @@
         let mut connection = Connection::open(address).await.map_err(RequestError::Unsent)?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                let answer = read_answer(response, limit, matches).await?;
+                let answer = read_answer(response, limit, true, matches).await?;
                 self.keep(address, connection, &answer.1, has_long_body).await;
                 Ok(answer)
             }
@@ -227,16 +227,28 @@
     }
 }
 
+/// The head of an answer, which tells whether the answer belongs to its request.
+#[derive(Debug)]
+pub struct AnswerHead<'a> {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: &'a HeaderMap,
+    /// Whether the connection has carried no request before, so that nothing can be left of one.
+    pub is_first: bool,
+}
+
 /// An answer with its whole body.
 pub type WholeAnswer = (StatusCode, HeaderMap, Bytes);
 
 async fn read_answer(
     response: http::Response<Incoming>,
     limit: u64,
-    matches: impl Fn(StatusCode, &HeaderMap) -> bool,
+    is_first: bool,
+    matches: impl Fn(&AnswerHead<'_>) -> bool,
 ) -> Result<WholeAnswer, RequestError> {
     let (parts, body) = response.into_parts();
-    if !matches(parts.status, &parts.headers) {
+    if !matches(&AnswerHead { status: parts.status, headers: &parts.headers, is_first }) {
         return Err(RequestError::Unmatched(parts.status));
     }
     let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
--- a/src/echo.rs
+++ b/src/echo.rs
@@ -4,8 +4,7 @@
 //! one answer too many. The request id that backend servers return is the only thing that tells such an
 //! answer from the right one. docs/DESIGN.md, "Answers of backend servers".
 
-use http::HeaderMap;
-
+use crate::connection::AnswerHead;
 use crate::dialect::Dialect;
 use crate::envelope::RequestId;
 
@@ -14,7 +13,9 @@
 pub enum Echo {
     /// The answer has the request's id, or backend servers return no ids in this dialect.
     Own,
-    /// The answer has no id.
+    /// The answer has no id, and is the first on its connection.
+    MissingFirst,
+    /// The answer has no id, and the connection has carried other requests.
     Missing,
     /// The answer has the id of another request.
     Foreign,
@@ -23,13 +24,14 @@
 }
 
 impl Echo {
-    /// Compares the request id in the headers of an answer with that of the request.
-    pub fn of(dialect: &Dialect, request: &RequestId, headers: &HeaderMap) -> Self {
+    /// Compares the request id in an answer with that of the request.
+    pub fn of(dialect: &Dialect, request: &RequestId, head: &AnswerHead<'_>) -> Self {
         if !dialect.echoes_id {
             return Self::Own;
         }
-        let mut ids = headers.get_all(&dialect.request_id).iter();
+        let mut ids = head.headers.get_all(&dialect.request_id).iter();
         match (ids.next(), ids.next()) {
+            (None, _) if head.is_first => Self::MissingFirst,
             (None, _) => Self::Missing,
             (Some(_), Some(_)) => Self::Duplicated,
             (Some(id), None) if *id == request.to_header() => Self::Own,
@@ -37,10 +39,16 @@
         }
     }
 
+    /// Whether the answer belongs to the request.
+    pub const fn is_own(self) -> bool {
+        matches!(self, Self::Own | Self::MissingFirst)
+    }
+
     /// Value of the metric label and the log field.
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Own => "own",
+            Self::MissingFirst => "missing-first",
             Self::Missing => "missing",
             Self::Foreign => "foreign",
             Self::Duplicated => "duplicated",
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -5,10 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::{HeaderMap, StatusCode};
-
 use crate::announcement::BackendServer;
 use crate::board::Board;
+use crate::connection::AnswerHead;
 use crate::dialect::Dialect;
 use crate::document::Importance;
 use crate::echo::Echo;
@@ -141,16 +140,16 @@
         }
     }
 
-    /// Counts and logs an answer of the local backend server that does not belong to the request for which
-    /// it was read.
+    /// Counts and logs an answer of the local backend server that does not have the id of the request for
+    /// which it was read.
     pub fn record_unmatched(
         &self,
         dialect: &Dialect,
         request: &RequestId,
         echo: Echo,
-        status: StatusCode,
-        headers: &HeaderMap,
+        head: &AnswerHead<'_>,
     ) {
+        let AnswerHead { status, headers, .. } = *head;
         let has = |name: &Option<_>| name.as_ref().is_some_and(|name| headers.contains_key(name));
         let refusal = has(&dialect.not_run);
         let labels =
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -49,7 +49,7 @@
     pub reason: &'static str,
 }
 
-/// Labels of an answer of the local backend server that does not belong to the request.
+/// Labels of an answer of the local backend server without the id of its request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct UnmatchedLabels {
     /// What the request id in it says; see [`crate::echo::Echo`].
@@ -74,7 +74,7 @@
     pub retries: Family<RetryLabels, Counter>,
     /// Refusals at the local guard.
     pub refusals: Family<GuardLabels, Counter>,
-    /// Answers of the local backend server that do not belong to the request.
+    /// Answers of the local backend server without the ids of their requests.
     pub unmatched: Family<UnmatchedLabels, Counter>,
     /// Seconds from the arrival of a request to its answer.
     pub request_seconds: Histogram,
@@ -153,7 +153,7 @@
         registry.register("refusals", "Refusals at the guard", self.refusals.clone());
         registry.register(
             "unmatched_answers",
-            "Answers of the backend server that belong to no request or another one",
+            "Answers of the backend server without the ids of their requests",
             self.unmatched.clone(),
         );
         registry.register(
--- a/tests/unmatched.rs
+++ b/tests/unmatched.rs
@@ -5,6 +5,7 @@
 
 use fleet::scripted::{self, REQUEST_ID, Runs, Step, Turn, refusal, success};
 use fleet::{Fleet, document, plan, until};
+use gypsumtack::announcement::BackendServer;
 use gypsumtack_standin::caller::{Answer, CallerRequest};
 
 const REQUESTS: usize = 6;
@@ -91,3 +92,44 @@
     let (fleet, runs) = start("front", 2, repeat_refusal).await;
     assert_eq!(broken(&fleet, &runs).await, [""; 0]);
 }
+
+/// What a backend server says of itself in an answer that is not the request's is an earlier state, or
+/// that of another process.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unmatched_answer_tells_nothing_about_the_backend_server() {
+    const NOTICE: &str = "x-backend-limit: 1\r\nx-backend-leaving: 1\r\ncontent-length";
+    let (fleet, _) = start("deep", 0, |turn: &Turn| {
+        let unmatched = refusal(&["another"]).replace("content-length", NOTICE);
+        vec![Step::Run, Step::Write(unmatched), Step::Write(success(&[&turn.id]))]
+    })
+    .await;
+    let board = fleet.nodes[0].daemon.board();
+    let backend = BackendServer::clone(&board.backend.load_full().unwrap());
+    board.announce(BackendServer { id: "i-1".into(), started: 1, ..backend });
+    for index in 0..32 {
+        let answer = sign(&fleet, &format!("request-{index}")).await;
+        assert_eq!((answer.outcome(), answer.reason()), ("unknown", "bad-answer"));
+    }
+    assert!(board.is_ready(), "the backend server counts as leaving");
+    assert!(board.may_send_to_backend(), "the backend server counts as refusing everything");
+    let metrics = board.render_metrics();
+    assert!(metrics.contains("gypsumtack_backend_limit inf"), "{metrics}");
+    let counted = "gypsumtack_unmatched_answers_total{id=\"foreign\",refusal=\"yes\"} 32";
+    assert!(metrics.contains(counted), "{metrics}");
+}
+
+/// On a new connection there is no earlier request whose answer it could be.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_an_id_is_believed_on_a_new_connection_only() {
+    let script = |turn: &Turn| match turn.index {
+        0 => vec![Step::Write(refusal(&[]))],
+        _ => vec![Step::Run, Step::Write(refusal(&[]))],
+    };
+    let (fleet, runs) = start("deep", 0, script).await;
+    let mut outcomes = Vec::new();
+    for id in ["first", "second"] {
+        let answer = sign(&fleet, id).await;
+        outcomes.push((runs.of(id), answer.outcome().to_owned()));
+    }
+    assert_eq!(outcomes, [(0, "not-run".to_owned()), (1, "unknown".to_owned())]);
+}
