Give no status that promises "not run" to a request that ran or may have

Reason::status turned 503 into 502 for an unknown outcome, but not for one that ran, and 408 and 429 for neither.

promises_not_run names these statuses in one place, and Reason::status maps each of them to 502 unless the outcome is not-run.

Evidence: no_status_promises_that_a_request_did_not_run_if_it_may_have, before: "OverRate, Unknown: 429"; after: passes.

--- a/src/reason.rs
+++ b/src/reason.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// Whether callers take a status as a promise that the request did not run and never will. They may then
+/// send it again even if it must not run twice.
+pub const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Why a request was refused or failed, with the values that led to that.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -201,14 +213,16 @@
 
     /// HTTP status of the response to the caller.
     ///
-    /// 502 and 504 become 503 if the request did not run, since they report a failed backend server. 503
-    /// becomes 502 if the outcome is unknown, since callers take 503 to mean that a retry is safe.
+    /// 502 and 504 become 503 if the request did not run, since they report a failed backend server. A
+    /// status that [promises](promises_not_run) that becomes 502 if the request ran or may have.
     pub const fn status(&self, outcome: Outcome) -> StatusCode {
         match (self.default_status(), outcome) {
             (StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT, Outcome::NotRun) => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            (StatusCode::SERVICE_UNAVAILABLE, Outcome::Unknown) => StatusCode::BAD_GATEWAY,
+            (status, Outcome::Unknown | Outcome::Ran) if promises_not_run(status) => {
+                StatusCode::BAD_GATEWAY
+            }
             (status, _) => status,
         }
     }
