Do not pass on a backend server's own 503 for a request that must not run twice

Callers take 408, 421, 429 and 503 for a promise that a request did not run.

For requests that must not run twice such an answer is now our own 502, outcome ran, reason bad-answer, without the seal: an answer with the seal has to keep its status. Requests that may run twice get the answer unchanged, since no promise about them can be broken.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -20,7 +20,7 @@
 use crate::message::{self, Answer, Message};
 use crate::metrics::GuardLabels;
 use crate::notices::Notices;
-use crate::reason::{Outcome, Reason};
+use crate::reason::{self, Outcome, Reason};
 use crate::shared::Shared;
 use crate::sync::lock;
 use crate::time::Time;
@@ -335,6 +335,13 @@
         let problem = format!("the backend server's answer has no seal ({status})");
         return Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem });
     }
+    if live.envelope.claimed && reason::promises_not_run(status) {
+        let problem =
+            format!("the backend server answered {status} and does not say that it ran nothing");
+        let mut answer = Answer::refusal(request, Outcome::Ran, Reason::BadAnswer { problem });
+        answer.report.leaving = leaving;
+        return answer;
+    }
     message::strip_headers(&mut headers, &shared.private);
     let report = Report { leaving, ..Report::new(request, Outcome::Ran, None) };
     Answer { status, headers, body, report }
