Start no request behind an answer that closes the connection

A daemon that stops writes "connection: close" on the last pending answer. Callers take what they sent behind it for not read and send it again, of any kind.

Cause: stopping ended the reading of the socket, not the reading of requests from what had been read. Now a closing answer ends both: the request that is being read is given up with its memory.

Looked at as well: a request that waits for earlier answers (Complete) keeps the connection open until it has run; requests in the input behind 32 running ones start before the queue is empty; a refusal that closes ends reading already.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -483,6 +483,11 @@
         self.previous = Some(id);
         let request_waits = matches!(self.read_state, ReadState::Complete(_));
         let closes = (self.read_closed || stopping) && self.queue.is_empty() && !request_waits;
+        if closes {
+            // Callers take what they sent behind this answer for not read, and send it again.
+            self.read_closed = true;
+            self.read_state = ReadState::Head;
+        }
         let response = answer.into_response(&self.dialect);
         write_response(&mut self.output, response, bodiless, closes);
     }
