--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -151,3 +151,29 @@
     }
     serving.await.unwrap();
 }
+
+/// A backend server may run a request of which it has read a part, so the request must not count as unsent.
+#[tokio::test]
+async fn a_long_request_that_is_cut_off_is_not_sent_again() {
+    let long = || {
+        let mut request = http::Request::new(Full::new(Bytes::from(vec![b'v'; 8 << 20])));
+        *request.method_mut() = Method::POST;
+        request.headers_mut().insert(HOST, HeaderValue::from_static("x"));
+        request
+    };
+    let (address, dropped) = start_dropping_backend().await;
+    let connections = Connections::new(Clock::start());
+    open_idle(&connections, address, 8).await;
+    let error = connections.send_request(address, long(), true, LIMIT, any).await.unwrap_err();
+    assert!(!matches!(error, RequestError::Unsent(_)), "{error:?}");
+    assert_eq!(dropped.load(Ordering::Relaxed), 1, "the backend server got it more than once");
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+    });
+    let error = connections.send_request(address, long(), true, LIMIT, any).await.unwrap_err();
+    assert!(!matches!(error, RequestError::Unsent(_)), "{error:?}");
+}
--- a/tests/reservations.rs
+++ b/tests/reservations.rs
@@ -9,10 +9,12 @@
 use fleet::{Fleet, document, plan, until};
 use gypsumtack::document::Importance;
 use gypsumtack::envelope::{Envelope, RequestId};
+use gypsumtack::message::Message;
+use gypsumtack::reason::Reason;
 use gypsumtack::reservation::SlotGrant;
 use gypsumtack_standin::backend::OPERATION;
 use gypsumtack_standin::caller::CallerRequest;
-use http::HeaderName;
+use http::{HeaderMap, HeaderName, Method, Uri};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -127,3 +129,26 @@
     assert_eq!(gate.load().in_flight, 1);
     until("the slot is free", || gate.load().in_flight == 0).await;
 }
+
+/// The daemon that sends the request takes `not-run` for certain, and may send it to another instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_arrives_after_its_slot_has_expired_is_not_run() {
+    let (fleet, _proxy) = start_fleet().await;
+    let (entry, instance) = (fleet.nodes[0].daemon.shared(), &fleet.nodes[1]);
+    let address = instance.daemon.board().record().peers;
+    let granted = entry.peers.reserve(entry, address, envelope()).await;
+    let Ok(SlotGrant::Held(slot)) = granted else { panic!("{granted:?}") };
+    until("the slot is free", || instance.daemon.board().gate.load().in_flight == 0).await;
+    let message = Message {
+        method: Method::POST,
+        uri: Uri::from_static("/sign"),
+        headers: HeaderMap::new(),
+        body: "x".into(),
+    };
+    for _ in 0..2 {
+        let run = entry.peers.run_reserved(entry, address, slot, envelope(), message.clone());
+        let answer = run.await.unwrap();
+        assert_eq!(answer.report.reason, Some(Reason::SlotExpired));
+    }
+    assert!(instance.backend.arrivals().is_empty());
+}
