Take a sealed 421 for an answer, not for a refusal

In dialects that name the intended instance, each 421 counted as a refusal by another process at the address.

Only a 421 without the seal is one now; a sealed one goes the way of other statuses that promise "not run".

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -316,8 +316,11 @@
 ) -> Answer {
     let dialect = &shared.dialect;
     let request = live.envelope.request.clone();
-    let misdirected = dialect.instance.is_some() && status == StatusCode::MISDIRECTED_REQUEST;
-    let unsealed = dialect.seal.as_ref().is_some_and(|name| !headers.contains_key(name));
+    let sealed = dialect.seal.as_ref().map(|name| headers.contains_key(name));
+    let unsealed = sealed == Some(false);
+    let misdirected = dialect.instance.is_some()
+        && status == StatusCode::MISDIRECTED_REQUEST
+        && sealed != Some(true);
     let refused = dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name));
     let is_own = !misdirected && (refused || !unsealed);
     let notices = is_own.then(|| Notices::read(dialect, &headers));
--- a/tests/fleet/scripted.rs
+++ b/tests/fleet/scripted.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub const INSTANCE: HeaderName = HeaderName::from_static("x-instance");
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 pub const SEAL: HeaderName = HeaderName::from_static("x-seal");
 
@@ -23,6 +24,7 @@
         caller_chosen_ids: true,
         echoes_id: true,
         token: None,
+        instance: Some(INSTANCE),
         not_run: Some(NOT_RUN),
         seal: Some(SEAL),
         idempotency_key: None,
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use fleet::scripted::{self, REQUEST_ID, Runs, SEAL, Step, Turn, answer};
+use fleet::scripted::{self, INSTANCE, REQUEST_ID, Runs, SEAL, Step, Turn, answer};
 use fleet::{Fleet, document, plan};
 use gypsumtack::reason::{Outcome, Reason};
 use gypsumtack_standin::caller::CallerRequest;
@@ -48,6 +48,18 @@
     }
 }
 
+/// A process that is not the intended instance refuses with 421, and has no seal of the intended one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_misdirected_request_did_not_run() {
+    let script = |turn: &Turn| {
+        vec![Step::Write(answer("421 Misdirected Request", &[&turn.id], &INSTANCE, ""))]
+    };
+    let (fleet, _) = start(script).await;
+    let request = CallerRequest::post("/sign", "x".into()).key("acme-key");
+    let answer = fleet.ask(0, request.header(REQUEST_ID, "misdirected")).await;
+    assert_eq!((answer.outcome(), answer.reason()), ("not-run", "shed"));
+}
+
 #[test]
 fn no_status_promises_that_a_request_did_not_run_if_it_may_have() {
     let reasons = [
