--- a/tests/fleet/scripted.rs
+++ b/tests/fleet/scripted.rs
@@ -108,6 +108,7 @@
     runs: &Runs,
     script: &(dyn Fn(&Turn) -> Vec<Step> + Send + Sync),
 ) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
     let (mut input, mut earlier) = (Vec::new(), None);
     for index in 0.. {
         let Some(id) = read_request(&mut stream, &mut input).await? else { break };
