Count unreadable rows by table, and log each once with its key

Rows of members and the roster that could not be decoded were skipped without a line, and no metric counted them. A row is read again until its writer corrects it, so each version of a row is logged and counted once. No logic changes: rows that were skipped before still are.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -257,7 +257,7 @@
             return Ok(());
         }
         let Some(row) = shared.store.row(&key).await? else { continue };
-        let old: Option<Record> = row.decode();
+        let old: Option<Record> = shared.store.decode(&row, |_| Ok(()));
         if old.is_some_and(|old| old.incarnation > record.incarnation) {
             return Ok(());
         }
@@ -271,7 +271,8 @@
 async fn scan(shared: &Shared) -> Result<(), StoreError> {
     let board = &shared.board;
     let rows = shared.store.scan(MEMBERS).await?.rows;
-    let records: Vec<Record> = rows.iter().filter_map(Row::decode).collect();
+    let decode = |row: &Row| shared.store.decode(row, |_: &Record| Ok(()));
+    let records: Vec<Record> = rows.iter().filter_map(decode).collect();
     let me = &board.settings.vm;
     board.mark_members_scanned();
     board.update_view(|view, now| {
@@ -379,7 +380,7 @@
 
 async fn read_roster(shared: &Shared) -> Result<u64, StoreError> {
     let Some(row) = shared.store.row(roster::KEY).await? else { return Ok(0) };
-    let roster: Option<Roster> = row.decode();
+    let roster: Option<Roster> = shared.store.decode(&row, |_| Ok(()));
     let damaged = || StoreError::Refused(format!("the row {} is damaged", roster::KEY));
     shared.board.install_roster(roster.ok_or_else(damaged)?);
     Ok(row.version)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -143,7 +143,8 @@
             dialect: adapter.dialect,
             format: adapter.format,
             keys: FleetKeys::derive(&board.settings.fleet.secrets),
-            store: Client::new(&board.settings.platform, adapter.wire, clock),
+            store: Client::new(&board.settings.platform, adapter.wire, clock)
+                .with_unreadable_counter(board.metrics.unreadable_rows.clone()),
             peers: PeerConnections::default(),
             reservations: Reservations::default(),
             server: Connections::new(clock),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
 pub mod tables;
 pub mod time;
 pub mod timings;
+pub mod unreadable;
 pub mod wire;
 
 pub use crate::board::Board;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,6 +14,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::unreadable::UnreadableCounter;
+
 /// Labels of a request that a caller sent to this daemon.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
@@ -77,6 +79,8 @@
     pub borrowed: Counter,
     /// Failed requests to the platform.
     pub platform_failures: Counter,
+    /// Rows of the store that cannot be read, by table.
+    pub unreadable_rows: UnreadableCounter,
     /// The version of the document in force.
     pub document_version: Gauge,
     /// The era of the store that is known here.
@@ -115,6 +119,7 @@
             held_back: duration_histogram(),
             borrowed: Counter::default(),
             platform_failures: Counter::default(),
+            unreadable_rows: UnreadableCounter::default(),
             document_version: Gauge::default(),
             store_era: Gauge::default(),
             backend_limit: Gauge::default(),
@@ -152,6 +157,8 @@
         registry.register("borrowed", "Tokens borrowed from other VMs", self.borrowed.clone());
         let failures = self.platform_failures.clone();
         registry.register("platform_failures", "Failed exchanges with the platform", failures);
+        let unreadable = self.unreadable_rows.clone();
+        registry.register("unreadable_rows", "Rows of the store that cannot be read", unreadable);
         registry.register("document_version", "Document in force", self.document_version.clone());
         registry.register("store_era", "Era of the store", self.store_era.clone());
         self.backend_limit.set(f64::INFINITY);
--- a/src/store.rs
+++ b/src/store.rs
@@ -29,6 +29,7 @@
 use crate::settings;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
+use crate::unreadable::{UnreadableCounter, UnreadableRows};
 
 /// Time after which an idle connection to the store is closed. Longer than the pauses between store
 /// requests without traffic, so that connections are reused.
@@ -219,6 +220,7 @@
     breaker: Mutex<CircuitBreaker>,
     last_answer: AtomicU64,
     era: watch::Sender<Era>,
+    unreadable: UnreadableRows,
 }
 
 impl Client {
@@ -241,9 +243,28 @@
             breaker: Mutex::new(CircuitBreaker::default()),
             last_answer: AtomicU64::new(0),
             era: watch::Sender::default(),
+            unreadable: UnreadableRows::default(),
         }
     }
 
+    /// Counts rows that cannot be read in `counter`.
+    #[must_use]
+    pub fn with_unreadable_counter(self, counter: UnreadableCounter) -> Self {
+        Self { unreadable: UnreadableRows::new(counter), ..self }
+    }
+
+    /// Decodes the value of a row and validates it. Returns `None` and records the row as unreadable if
+    /// it is not a valid `T`, since another program may have written it.
+    pub fn decode<T: DeserializeOwned>(
+        &self,
+        row: &Row,
+        validate: impl FnOnce(&T) -> Result<(), String>,
+    ) -> Option<T> {
+        let decoded = serde_json::from_slice(&row.value).map_err(|error| error.to_string());
+        let valid = decoded.and_then(|value| validate(&value).map(|()| value));
+        valid.inspect_err(|problem| self.unreadable.record(&row.key, row.version, problem)).ok()
+    }
+
     /// Returns the era of the store that is known here.
     pub fn era(&self) -> Era {
         *self.era.borrow()
