Read each row of the store on its own, so that an odd one hides no other

What operators saw: another writer left one odd entry among those of the instances, and the machines that read the list stopped following it.

Cause: rows were decoded one by one, but the answer that holds them was parsed as a whole first, into generic values on the platform's protocol and into typed rows on the project's own. A value nested deeper than the parser's limit, a number that fits no type, a wrong type or bytes that are not UTF-8 in one row failed the read of all rows, again at each try. Class of fault: one entry decides about the reading of others.

Change: an answer is split into rows without reading them (serde_json's RawValue, whose parser has no limit of depth and does not recurse: rows nested 200,000 deep are passed over), and each row and field is decoded alone. Bytes that are not UTF-8 are replaced first. A row whose value cannot be read keeps its key and version, since a writer has to know that it exists.

--- a/src/store.rs
+++ b/src/store.rs
@@ -26,6 +26,7 @@
 use crate::era::{Era, Observation};
 use crate::error::StoreError;
 use crate::message;
+use crate::rows::UnreadableRow;
 use crate::settings;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -129,6 +130,10 @@
     /// Whether there are more rows; the next page starts after the last key.
     #[serde(default)]
     pub more: bool,
+    /// Rows that cannot be read. Where the key and the version can, `rows` has the row as well, without
+    /// a value, since it exists.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableRow>,
 }
 
 /// A request to the store.
@@ -451,7 +456,13 @@
         }
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| StoreError::AnswerLost(error.to_string()))?;
-        (self.wire.decode)(request, status, body.to_bytes())
+        let reply = (self.wire.decode)(request, status, body.to_bytes())?;
+        if let Reply::Rows(rows) = &reply {
+            for row in &rows.unreadable {
+                self.unreadable.record(&row.key, row.version, &row.problem);
+            }
+        }
+        Ok(reply)
     }
 
     fn with_breaker<T>(&self, action: impl FnOnce(&mut CircuitBreaker, Time) -> T) -> T {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::StoreError;
-use crate::store::{HttpRequest, Reply, StoreRequest, WireProtocol};
+use crate::rows::{self, Raw, UnreadableRow};
+use crate::store::{HttpRequest, Reply, Row, Rows, StoreRequest, WireProtocol};
 
 /// The project's own protocol, JSON over HTTP.
 pub const OWN: WireProtocol = WireProtocol { encode, decode, era: ERA };
@@ -83,18 +84,81 @@
         (
             StatusCode::OK,
             StoreRequest::Read(_) | StoreRequest::Scan { .. } | StoreRequest::Feed { .. },
-        ) => parse(&body).map(Reply::Rows),
+        ) => decode_rows(&body).map(Reply::Rows),
         (StatusCode::OK, StoreRequest::PutObject { .. }) => Ok(Reply::Stored),
         (StatusCode::OK, StoreRequest::GetObject(_)) => Ok(Reply::Object(Some(body))),
         (other, _) => Err(StoreError::Refused(format!("it answered {other}"))),
     }
 }
 
+/// The answer to a read, a scan or a feed.
+#[derive(Debug, Deserialize)]
+struct RowsAnswer<'a> {
+    #[serde(borrow)]
+    rows: Vec<Raw<'a>>,
+    #[serde(borrow, default)]
+    deleted: Vec<Raw<'a>>,
+    version: u64,
+    #[serde(default)]
+    more: bool,
+}
+
+/// One row of an answer.
+#[derive(Debug, Deserialize)]
+struct RowAnswer<'a> {
+    #[serde(borrow)]
+    key: Option<Raw<'a>>,
+    #[serde(borrow)]
+    version: Option<Raw<'a>>,
+    #[serde(borrow)]
+    value: Option<Raw<'a>>,
+}
+
+fn decode_rows(body: &[u8]) -> Result<Rows, StoreError> {
+    let text = rows::text(body);
+    let answer: RowsAnswer<'_> = serde_json::from_str(&text).map_err(answer_lost)?;
+    let mut rows = Rows { version: answer.version, more: answer.more, ..Rows::default() };
+    let unnamed = |problem| UnreadableRow { key: String::new(), version: 0, problem };
+    for raw in answer.rows {
+        decode_row(raw, &mut rows).unwrap_or_else(|problem| rows.unreadable.push(unnamed(problem)));
+    }
+    for raw in answer.deleted {
+        match rows::field("deleted", Some(raw)) {
+            Ok(key) => rows.deleted.extend(key),
+            Err(problem) => rows.unreadable.push(unnamed(problem)),
+        }
+    }
+    Ok(rows)
+}
+
+/// Adds a row to `rows`.
+///
+/// # Errors
+///
+/// Returns why the row names no key or version.
+fn decode_row(raw: Raw<'_>, rows: &mut Rows) -> Result<(), String> {
+    let row: RowAnswer<'_> = rows::fields(raw)?;
+    let key: String = rows::field("key", row.key)?.ok_or("it names no key")?;
+    let version =
+        rows::field("version", row.version).map_err(|problem| format!("{key}: {problem}"))?;
+    let version: u64 = version.ok_or_else(|| format!("{key}: it names no version"))?;
+    let value = rows::field::<String>("value", row.value).unwrap_or_else(|problem| {
+        rows.unreadable.push(UnreadableRow { key: key.clone(), version, problem });
+        None
+    });
+    rows.rows.push(Row { key, version, value: value.unwrap_or_default().into() });
+    Ok(())
+}
+
 fn json<T: Serialize>(value: &T) -> Result<Bytes, StoreError> {
     let text = serde_json::to_vec(value);
     text.map(Bytes::from).map_err(|error| StoreError::Refused(error.to_string()))
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(|error| StoreError::AnswerLost(error.to_string()))
+    serde_json::from_slice(body).map_err(answer_lost)
+}
+
+fn answer_lost(error: serde_json::Error) -> StoreError {
+    StoreError::AnswerLost(error.to_string())
 }
--- a/standin/src/table.rs
+++ b/standin/src/table.rs
@@ -62,7 +62,7 @@
         rows.sort_by_key(|row| row.version);
         let deleted = self.deleted.iter().filter(|(key, _)| key.starts_with(prefix));
         let deleted = deleted.filter(|(_, commit)| **commit > after).map(|(key, _)| key.clone());
-        Rows { rows, deleted: deleted.collect(), version: self.commits, more: false }
+        Rows { rows, deleted: deleted.collect(), version: self.commits, ..Rows::default() }
     }
 
     /// Returns the number of committed transactions, which is the table's version.
