--- a/src/wire.rs
+++ b/src/wire.rs
@@ -116,7 +116,8 @@
 
 fn decode_rows(body: &[u8]) -> Result<Rows, StoreError> {
     let text = rows::text(body);
-    let answer: RowsAnswer<'_> = serde_json::from_str(&text).map_err(answer_lost)?;
+    let answer: RowsAnswer<'_> =
+        serde_json::from_str(&text).map_err(|error| answer_lost(&error))?;
     let mut rows = Rows { version: answer.version, more: answer.more, ..Rows::default() };
     let unnamed = |problem| UnreadableRow { key: String::new(), version: 0, problem };
     for raw in answer.rows {
@@ -156,9 +157,9 @@
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(answer_lost)
+    serde_json::from_slice(body).map_err(|error| answer_lost(&error))
 }
 
-fn answer_lost(error: serde_json::Error) -> StoreError {
+fn answer_lost(error: &serde_json::Error) -> StoreError {
     StoreError::AnswerLost(error.to_string())
 }
