Use only records that can name a VM

What operators see: an entry of another writer that can be decoded, but has port 0, slots near the maximum of their type, an incarnation that outranks every true one or the name of another VM, became a member. It was passed on by gossip, chosen for requests, joined the roster, or displaced the VM of that name for good: its own records were outranked, and its own row was taken for one of a later start and left as it was.

Cause: decoding was the only check of a record, and the key of its row was not compared with its name. Class of fault: a value from outside is checked where it is used, or nowhere.

Evidence, before (the check switched off): an_entry_with_an_unusable_address_names_no_instance and an_entry_with_absurd_slots_names_no_instance failed ("entries that name no VM are members"), and an_entry_displaces_no_vm_of_the_fleet waited in vain for exactly the VMs of the fleet.

Change: a record is checked where it enters, from the store or in a heartbeat: names, ports, slots, limit, an incarnation before the year 2109, and in the store the key of its row. A row that fails is logged and counted as unreadable, and a VM overwrites such a row of its own. The announced slots of the own backend server are bounded the same way, so that no other daemon rejects the record.

After: the four tests of tests/odd_entries.rs pass.

--- a/src/board.rs
+++ b/src/board.rs
@@ -22,7 +22,7 @@
 use crate::journal::Journal;
 use crate::live::LiveTable;
 use crate::log::Sampler;
-use crate::member::{Record, State, View};
+use crate::member::{MAX_SLOTS, Record, State, View};
 use crate::metrics::Metrics;
 use crate::notices::Noticed;
 use crate::overload::OverloadController;
@@ -474,7 +474,7 @@
             suspect: false,
             domain: self.settings.failure_domain.clone(),
             service: backend.as_ref().map(|b| b.service.clone()).unwrap_or_default(),
-            slots: backend.as_ref().map_or(0, |b| self.gate.offered_slots(b.slots)),
+            slots: backend.as_ref().map_or(0, |b| self.gate.offered_slots(b.slots).min(MAX_SLOTS)),
             run: backend.as_ref().and_then(|backend| backend.run()),
             sheds: self.shedding.is_shedding(),
             limit: lock(&self.noticed).limit,
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -257,7 +257,7 @@
             return Ok(());
         }
         let Some(row) = shared.store.row(&key).await? else { continue };
-        let old: Option<Record> = shared.store.decode(&row, |_| Ok(()));
+        let old = decode_member(shared, &row);
         if old.is_some_and(|old| old.incarnation > record.incarnation) {
             return Ok(());
         }
@@ -268,11 +268,21 @@
     )))
 }
 
+/// Decodes a member's row. Returns `None` if it does not hold a valid record of the VM that it is named
+/// after.
+fn decode_member(shared: &Shared, row: &Row) -> Option<Record> {
+    shared.store.decode(row, |record: &Record| {
+        if row.key.strip_prefix(MEMBERS) != Some(&record.vm) {
+            return Err(format!("the record is one of {}", record.vm));
+        }
+        record.validate()
+    })
+}
+
 async fn scan(shared: &Shared) -> Result<(), StoreError> {
     let board = &shared.board;
     let rows = shared.store.scan(MEMBERS).await?.rows;
-    let decode = |row: &Row| shared.store.decode(row, |_: &Record| Ok(()));
-    let records: Vec<Record> = rows.iter().filter_map(decode).collect();
+    let records: Vec<Record> = rows.iter().filter_map(|row| decode_member(shared, row)).collect();
     let me = &board.settings.vm;
     board.mark_members_scanned();
     board.update_view(|view, now| {
--- a/src/member.rs
+++ b/src/member.rs
@@ -29,6 +29,16 @@
 /// Time for which it is remembered that a run of a backend server is leaving. None takes that long to end.
 const LEAVING_TIMEOUT: Duration = Duration::from_secs(600);
 
+/// Maximum length of the names in a record, in bytes. Keys of the store are no longer.
+const MAX_NAME_BYTES: usize = 200;
+
+/// Maximum number of slots in a record.
+pub const MAX_SLOTS: u32 = 1_000_000;
+
+/// Maximum incarnation of a record, in milliseconds since the Unix epoch: a moment in the year 2109. A
+/// higher one would outrank all later records of the VM.
+const MAX_INCARNATION: u64 = 1 << 42;
+
 /// Number of times that one change is forwarded, per doubling of the fleet's size.
 const FORWARDS_PER_DOUBLING: u32 = 3;
 
@@ -84,6 +94,39 @@
 }
 
 impl Record {
+    /// Checks a record that comes from outside. All records of a [`View`] have passed this check.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the record names no VM.
+    pub fn validate(&self) -> Result<(), String> {
+        let names = [("vm", &self.vm), ("domain", &self.domain), ("service", &self.service)];
+        for (field, name) in names {
+            let may_be_empty = field == "service";
+            if name.len() > MAX_NAME_BYTES || (name.is_empty() && !may_be_empty) {
+                return Err(format!("{field} has {} bytes", name.len()));
+            }
+            if name.contains(char::is_control) {
+                return Err(format!("{field} has control characters"));
+            }
+        }
+        let addresses =
+            [("peers", self.peers), ("control", self.control), ("operators", self.operators)];
+        if let Some((field, _)) = addresses.iter().find(|(_, address)| address.port() == 0) {
+            return Err(format!("{field} has port 0"));
+        }
+        if self.slots > MAX_SLOTS {
+            return Err(format!("{} slots are more than {MAX_SLOTS}", self.slots));
+        }
+        if self.limit.is_some_and(|limit| !limit.is_finite() || limit < 0.0) {
+            return Err("the limit is no rate".to_owned());
+        }
+        if self.incarnation > MAX_INCARNATION {
+            return Err(format!("incarnation {} lies in the future", self.incarnation));
+        }
+        Ok(())
+    }
+
     /// Rank by which records of one VM supersede each other; the highest wins. Within an incarnation,
     /// [`State::Leaving`] outranks every other state.
     fn rank(&self) -> (u64, bool, u64, bool) {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -425,9 +425,14 @@
 /// publishing a new record.
 fn merge_heartbeat(shared: &Shared, heartbeat: Heartbeat) {
     let board = &shared.board;
+    let is_valid = |record: &Record| is_valid(shared, record);
+    if !is_valid(&heartbeat.record) {
+        return;
+    }
     let control = heartbeat.record.control;
     let me = &board.settings.vm;
-    let records = std::iter::once(heartbeat.record).chain(heartbeat.rumors);
+    let rumors = heartbeat.rumors.into_iter().filter(is_valid);
+    let records = std::iter::once(heartbeat.record).chain(rumors);
     let (own, others): (Vec<_>, Vec<_>) = records.partition(|record| record.vm == *me);
     let suspected = own.iter().any(|r| r.suspect && r.incarnation == board.incarnation);
     if board.update_view(|view, now| view.merge_heartbeat(others, now)) {
@@ -451,6 +456,17 @@
     update_newest(&board.newer_roster, heartbeat.roster, control);
 }
 
+/// Whether a record of a heartbeat names a VM. One that does not is logged, a few times a second at most.
+fn is_valid(shared: &Shared, record: &Record) -> bool {
+    let board = &shared.board;
+    let Err(problem) = record.validate() else { return true };
+    if let Some(weight) = board.log_sampler.weigh("record-invalid", board.clock.now()) {
+        let remedy = "it is skipped; update the daemon that forwards it";
+        tracing::warn!(event = "record-invalid", weight, vm = record.vm, problem, remedy);
+    }
+    false
+}
+
 fn update_newest(newer: &watch::Sender<Newer>, version: u64, control: SocketAddr) {
     newer.send_if_modified(|newest| {
         let newer = version > newest.version;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -69,6 +69,8 @@
     committed: watch::Sender<u64>,
     /// Number of times that the platform has come back from a copy.
     era: u64,
+    /// Rows as JSON that another writer has left, each with the prefix of its table.
+    foreign: Vec<(String, String)>,
 }
 
 /// Everything that the platform stores, at one moment.
@@ -96,6 +98,7 @@
             rng: SmallRng::seed_from_u64(seed),
             committed: watch::Sender::default(),
             era: 0,
+            foreign: Vec::new(),
         }));
         let (stop, stopped) = watch::channel(false);
         let shared = Arc::clone(&state);
@@ -142,6 +145,11 @@
         state.committed.send_replace(commits);
     }
 
+    /// Adds a row as another writer has left it: `row` is what answers about `table` contain for it.
+    pub fn add_foreign_row(&self, table: &str, row: &str) {
+        lock(&self.state).foreign.push((table.to_owned(), row.to_owned()));
+    }
+
     /// Stops the platform. Its rows and objects are lost.
     pub fn stop(&self) {
         let _ = self.stop.send(true);
@@ -202,7 +210,8 @@
     if state.faults.forget || after > state.table.commits() {
         return respond(StatusCode::GONE, Bytes::new());
     }
-    json(&changes.unwrap_or_else(|_| state.table.changes(&table, after)))
+    let changes = changes.unwrap_or_else(|_| state.table.changes(&table, after));
+    state.respond_rows(&table, &changes)
 }
 
 fn set_faults(state: &Mutex<State>, body: &[u8]) -> Response {
@@ -256,7 +265,18 @@
         let Ok(scan) = serde_json::from_slice::<Scan>(body) else { return reject() };
         let rows = self.table.scan(&scan.prefix).filter(|row| row.version > scan.after);
         let later = |row: &&Row| scan.from.as_ref().is_none_or(|from| row.key > *from);
-        json(&self.rows(rows.filter(later).cloned().collect()))
+        let rows = self.rows(rows.filter(later).cloned().collect());
+        self.respond_rows(&scan.prefix, &rows)
+    }
+
+    /// Answers with rows under `prefix`, those of other writers included.
+    fn respond_rows(&self, prefix: &str, rows: &Rows) -> Response {
+        let foreign = self.foreign.iter().filter(|(table, _)| prefix.starts_with(table));
+        let foreign: Vec<&str> = foreign.map(|(_, row)| row.as_str()).collect();
+        let text = serde_json::to_string(rows).unwrap_or_default();
+        let separator = if foreign.is_empty() || rows.rows.is_empty() { "" } else { "," };
+        let list = format!("\"rows\":[{}{separator}", foreign.join(","));
+        respond(StatusCode::OK, text.replacen("\"rows\":[", &list, 1).into())
     }
 
     fn rows(&self, rows: Vec<Row>) -> Rows {
--- /dev/null
+++ b/tests/odd_entries.rs
@@ -0,0 +1,144 @@
+//! A fleet on loopback beside entries that another writer has left among those of its VMs.
+
+mod fleet;
+
+use std::net::SocketAddr;
+
+use fleet::{Fleet, document, plan, until};
+use gypsumtack::member::{Record, State};
+use gypsumtack::store::{Commit, Transaction};
+use gypsumtack_standin::caller::CallerRequest;
+
+/// Adds a VM that serves `deep`.
+async fn add(fleet: &mut Fleet) {
+    fleet.add("a", plan("deep", 4, 1, &[])).await;
+}
+
+/// Waits until every VM knows the addresses of all, and no other instance.
+async fn until_all_are_known(fleet: &Fleet) {
+    let peers = |node: &fleet::Node| node.daemon.board().settings.listen.peers;
+    let mut expected: Vec<SocketAddr> = fleet.nodes.iter().map(peers).collect();
+    expected.sort();
+    for node in &fleet.nodes {
+        let board = node.daemon.board();
+        until("exactly the VMs of the fleet are known", || {
+            let instances = board.instances.load();
+            let mut known: Vec<SocketAddr> =
+                instances.for_service("deep").iter().map(|instance| instance.peers).collect();
+            known.sort();
+            known == expected
+        })
+        .await;
+    }
+}
+
+async fn assert_serves(fleet: &Fleet) {
+    for node in &fleet.nodes {
+        let odd = node.daemon.board().read_view(|view| {
+            let names = view.iter().map(|member| member.record.vm.clone());
+            names.filter(|vm| vm.starts_with("odd")).collect::<Vec<_>>()
+        });
+        assert!(odd.is_empty(), "entries that name no VM are members: {odd:?}");
+    }
+    for node in 0..fleet.nodes.len() {
+        for _ in 0..8 {
+            let answer = fleet.ask(node, CallerRequest::get("/deep").key("acme-key")).await;
+            assert_eq!(answer.outcome(), "ran", "{answer:?}");
+        }
+    }
+}
+
+/// Starts a fleet beside the entries that `leave` makes, and lets VMs join and leave it.
+async fn play(leave: impl AsyncFnOnce(&Fleet)) {
+    let mut fleet = Fleet::start(&document()).await;
+    leave(&fleet).await;
+    for _ in 0..2 {
+        add(&mut fleet).await;
+    }
+    fleet.settle(&["deep"]).await;
+    until_all_are_known(&fleet).await;
+    assert_serves(&fleet).await;
+    add(&mut fleet).await;
+    until_all_are_known(&fleet).await;
+    let leaving = fleet.nodes.remove(0);
+    leaving.backend.drain();
+    let board = leaving.daemon.board().clone();
+    until("its backend server has drained", || !board.is_ready()).await;
+    leaving.daemon.stop().await;
+    until_all_are_known(&fleet).await;
+    assert_serves(&fleet).await;
+}
+
+/// A record that is honest except for what the caller changes.
+fn record(vm: &str) -> Record {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    Record {
+        vm: vm.to_owned(),
+        incarnation: 1,
+        counter: 1,
+        state: State::Ready,
+        suspect: false,
+        domain: "a".to_owned(),
+        service: "deep".to_owned(),
+        slots: 4,
+        run: None,
+        sheds: false,
+        limit: None,
+        epoch: 0,
+        peers: address(1),
+        control: address(2),
+        operators: address(3),
+    }
+}
+
+async fn put(fleet: &Fleet, key: &str, record: &Record) {
+    let transaction = Transaction::default().put(&format!("member/{key}"), record);
+    let commit = fleet.client().commit(&transaction).await.unwrap();
+    assert!(matches!(commit, Commit::Done(_)), "{commit:?}");
+}
+
+/// Guards against daemons that follow no members, because one row fails the read of all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fleet_follows_its_vms_beside_rows_that_cannot_be_parsed() {
+    play(async |fleet| {
+        let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+        for odd in [nested.as_str(), "1e999", "{\"key\":7}", "null"] {
+            fleet.platform.add_foreign_row("member/", odd);
+        }
+        let deep = format!("{{\"key\":\"member/deep\",\"version\":1,\"value\":{nested}}}");
+        fleet.platform.add_foreign_row("member/", &deep);
+    })
+    .await;
+}
+
+/// Guards against daemons that take an entry for a VM although it names none.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_with_an_unusable_address_names_no_instance() {
+    play(async |fleet| {
+        let unusable: SocketAddr = ([127, 0, 0, 1], 0).into();
+        put(fleet, "odd-peers", &Record { peers: unusable, ..record("odd-peers") }).await;
+        put(fleet, "odd-control", &Record { control: unusable, ..record("odd-control") }).await;
+    })
+    .await;
+}
+
+/// Guards against sums of slots that overflow, and instances that seem to have room for everything.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_with_absurd_slots_names_no_instance() {
+    play(async |fleet| {
+        put(fleet, "odd", &Record { slots: u32::MAX, ..record("odd") }).await;
+        put(fleet, "odder", &Record { slots: u32::MAX, ..record("odder") }).await;
+    })
+    .await;
+}
+
+/// Guards against entries that displace those of a VM of the fleet for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_displaces_no_vm_of_the_fleet() {
+    play(async |fleet| {
+        put(fleet, "odd", &record("vm-0")).await;
+        put(fleet, "odder", &Record { incarnation: u64::MAX, ..record("vm-1") }).await;
+        put(fleet, "vm-2", &Record { incarnation: u64::MAX, ..record("vm-2") }).await;
+    })
+    .await;
+}
