Let no claim wait behind a row that holds none

What callers see: a row under the key of a claim that cannot be decoded made the insertion of claims conflict and find nothing to read back, again and again without a pause, until its request gave up. All requests of the daemon that must not run twice waited meanwhile.

Cause: a row that cannot be decoded counted as missing. Class of fault: "unreadable" taken for "absent".

Evidence, before: an_odd_claim_holds_up_no_other_request failed at its first assertion, the request with the odd row's key was not answered with claim-unknown.

Change: such a row tells nothing of the request with its key, so the answer is "unknown" (claim-unknown), at once. The row is logged and counted as unreadable.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -205,12 +205,19 @@
     while verdict == Verdict::Pending && shared.board.clock.now() + POLL_INTERVAL < call.deadline {
         tokio::time::sleep(POLL_INTERVAL).await;
         let Ok(row) = shared.store.row(key).await else { continue };
-        let current: Option<Claim> = row.as_ref().and_then(Row::decode);
-        verdict = claim::evaluate(current.as_ref(), token, digest);
+        verdict = evaluate(shared, row.as_ref(), token, digest);
     }
     Ok(verdict)
 }
 
+/// Evaluates a row for a claim with this token and digest. A row that holds no claim tells nothing of the
+/// request with its key.
+fn evaluate(shared: &Shared, row: Option<&Row>, token: Token, digest: Digest) -> Verdict {
+    let Some(row) = row else { return Verdict::Vacant };
+    let claim: Option<Claim> = shared.store.decode(row, |_| Ok(()));
+    claim.map_or(Verdict::Unknown, |claim| claim::evaluate(Some(&claim), token, digest))
+}
+
 /// Digest of the request's method, path and body, which must be the same for all requests with the same
 /// idempotency key.
 fn digest(call: &Call) -> Digest {
@@ -435,12 +442,11 @@
             return batch;
         }
     };
-    let rows: BTreeMap<String, Claim> =
-        rows.iter().filter_map(|row| Some((row.key.clone(), row.decode()?))).collect();
+    let rows: BTreeMap<&str, &Row> = rows.iter().map(|row| (row.key.as_str(), row)).collect();
     let mut remaining = Vec::new();
     for insert in batch {
-        let verdict =
-            claim::evaluate(rows.get(&insert.key), insert.claim.token, insert.claim.digest);
+        let row = rows.get(insert.key.as_str()).copied();
+        let verdict = evaluate(shared, row, insert.claim.token, insert.claim.digest);
         match verdict {
             Verdict::Vacant => remaining.push(insert),
             verdict => reply(shared, insert, verdict),
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 
 use fleet::{Fleet, document, plan, until};
+use gypsumtack::claim;
 use gypsumtack::member::{Record, State};
 use gypsumtack::store::{Commit, Transaction};
-use gypsumtack_standin::caller::CallerRequest;
+use gypsumtack_standin::caller::{Answer, CallerRequest};
+use http::HeaderName;
 
 /// Adds a VM that serves `deep`.
 async fn add(fleet: &mut Fleet) {
@@ -142,3 +144,22 @@
     })
     .await;
 }
+
+/// Guards against claims that wait behind one whose row cannot be read.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_claim_holds_up_no_other_request() {
+    let mut fleet = Fleet::start(&document()).await;
+    add(&mut fleet).await;
+    fleet.settle(&["deep"]).await;
+    let odd = claim::row_key(Some("acme"), b"odd");
+    let transaction = Transaction::default().put(&odd, &"no claim");
+    fleet.client().commit(&transaction).await.unwrap();
+    let sign = async |key: &str| -> Answer {
+        let request = CallerRequest::post("/sign", "x".into()).key("acme-key");
+        fleet.ask(0, request.header(HeaderName::from_static("idempotency-key"), key)).await
+    };
+    let (odd, first, second) = tokio::join!(sign("odd"), sign("k1"), sign("k2"));
+    assert_eq!((odd.outcome(), odd.reason()), ("unknown", "claim-unknown"), "{odd:?}");
+    assert_eq!((first.outcome(), second.outcome()), ("ran", "ran"), "{first:?} {second:?}");
+    assert_eq!(fleet.begun(), 2);
+}
