Write a damaged roster again, and take no roster of a later era than the store's

What operators see: with a row of the roster that cannot be decoded, no VM joins any more, so a new VM refuses all customers with a rate. A row with an absurd version is installed, and the era that the version claims makes every daemon take all answers of the store for older ones.

Cause: reading the row is the first step of writing it, and failed; a version was not compared with the era of the store that holds it. The same class as the other odd entries.

Evidence, before: a_damaged_roster_row_is_written_again failed, "never: a share is held".

Change: a daemon that holds a roster replaces a row that cannot be read with its next change. After: the test passes for a row without members and for one with the largest version, as do tests/rosters.rs and tests/eras.rs. Open: with a damaged row and no daemon that holds a roster, an operator has to delete the row.

--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -388,11 +388,21 @@
     live.map(|member| (member.record.vm.clone(), member.record.domain.clone())).collect()
 }
 
+/// Reads the roster, and returns the version of its row.
+///
+/// A damaged row is written again by a daemon that holds the roster. One that holds none must not take
+/// its own VM for the only one of the roster while others may hold it.
 async fn read_roster(shared: &Shared) -> Result<u64, StoreError> {
+    let board = &shared.board;
     let Some(row) = shared.store.row(roster::KEY).await? else { return Ok(0) };
-    let roster: Option<Roster> = shared.store.decode(&row, |_| Ok(()));
-    let damaged = || StoreError::Refused(format!("the row {} is damaged", roster::KEY));
-    shared.board.install_roster(roster.ok_or_else(damaged)?);
+    let era = shared.store.era().number;
+    match shared.store.decode(&row, |roster: &Roster| roster.validate(era)) {
+        Some(roster) => drop(board.install_roster(roster)),
+        None if board.roster.load().version == 0 => {
+            return Err(StoreError::Refused(format!("the row {} is damaged", roster::KEY)));
+        }
+        None => {}
+    }
     Ok(row.version)
 }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -49,6 +49,21 @@
 }
 
 impl Roster {
+    /// Checks a roster that was read from a store in this era.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no daemon can have written it.
+    pub fn validate(&self, era: u64) -> Result<(), String> {
+        let newest = era::of_version(self.version.max(self.epoch));
+        if newest > era {
+            return Err(format!(
+                "it is numbered as one of era {newest}, and the store is in {era}"
+            ));
+        }
+        Ok(())
+    }
+
     /// Returns the roster with `joining` added, or `None` if it already contains all of them.
     #[must_use]
     pub fn join(&self, joining: &Members) -> Option<Self> {
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -163,3 +163,23 @@
     assert_eq!((first.outcome(), second.outcome()), ("ran", "ran"), "{first:?} {second:?}");
     assert_eq!(fleet.begun(), 2);
 }
+
+/// Guards against a fleet that no VM can join, since the row of the roster is damaged.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_damaged_roster_row_is_written_again() {
+    for odd in [
+        "{\"version\":7}".to_owned(),
+        format!("{{\"version\":{0},\"epoch\":{0},\"members\":{{}},\"settled\":null}}", u64::MAX),
+    ] {
+        let mut fleet = Fleet::start(&document()).await;
+        add(&mut fleet).await;
+        fleet.settle(&["deep"]).await;
+        let odd: serde_json::Value = serde_json::from_str(&odd).unwrap();
+        let transaction = Transaction::default().put("roster/all", &odd);
+        fleet.client().commit(&transaction).await.unwrap();
+        add(&mut fleet).await;
+        fleet.settle(&["deep"]).await;
+        until_all_are_known(&fleet).await;
+        assert_serves(&fleet).await;
+    }
+}
