End a scan at a page without a row to continue after

What operators see: a daemon that reads a table in pages sends the same request for ever if none of a page's rows can be read, since the last key that it knows does not advance. On the platform's protocol, rows that were not wanted were dropped from the page before its last key was taken, with the same effect.

Evidence, before: a_scan_ends_at_a_page_without_a_readable_row failed after 10 s, "the scan does not end". Change: such a scan ends with the rows that it has, and rows are left out after the last page. After: the test passes.

--- a/src/store.rs
+++ b/src/store.rs
@@ -364,9 +364,15 @@
             let Some(last) = all.rows.last().map(|row| row.key.clone()) else { break };
             let request = StoreRequest::Scan { prefix, from: Some(&last), after };
             let page = into_rows(self.request(request).await?)?;
+            if page.rows.is_empty() {
+                // No row of the page can be read, so there is no key to continue after.
+                break;
+            }
             all.more = page.more;
             all.rows.extend(page.rows);
         }
+        // Not every protocol of a store can leave out older rows.
+        all.rows.retain(|row| row.version > after);
         Ok(all)
     }
 
--- a/tests/odd_rows.rs
+++ b/tests/odd_rows.rs
@@ -1,8 +1,14 @@
 //! Odd rows that another writer has left in the store, in the project's own protocol.
 
-use gypsumtack::store::{Reply, Row, Rows, StoreRequest};
+use std::time::Duration;
+
+use gypsumtack::settings;
+use gypsumtack::store::{Client, Reply, Row, Rows, StoreRequest};
+use gypsumtack::time::Clock;
 use gypsumtack::wire::OWN;
 use http::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 fn scan(body: Vec<u8>) -> Rows {
     let request = StoreRequest::Scan { prefix: "member/", from: None, after: 0 };
@@ -68,3 +74,28 @@
     }
     assert!(lost.is_empty(), "{} odd rows hide honest ones:\n{}", lost.len(), lost.join("\n"));
 }
+
+/// Guards against a scan that asks for the same page forever, since the page has no row to continue after.
+#[tokio::test]
+async fn a_scan_ends_at_a_page_without_a_readable_row() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut pages = ["{\"key\":\"member/a\",\"value\":\"{}\",\"version\":3}"].into_iter();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4096]).await;
+            let rows = pages.next().unwrap_or("1e999");
+            let body = format!("{{\"rows\":[{rows}],\"version\":9,\"more\":true}}");
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let _ = stream.write_all((head + &body).as_bytes()).await;
+        }
+    });
+    let client =
+        Client::new(&settings::Platform { address, timeout_ms: 1_000 }, OWN, Clock::start());
+    let scan = tokio::time::timeout(Duration::from_secs(10), client.scan("member/")).await;
+    let rows = scan.expect("the scan does not end").unwrap();
+    assert_eq!(rows.rows.len(), 1);
+}
