Saturate sums of numbers that come from other daemons and from rows

Sums of numbers from outside overflowed: the load of an instance, its position in the choice of an instance, counts of crashes, versions of rosters and of a later era. Builds with overflow checks ended the task, others went on with a small number. Durations and moments saturated already.

Evidence, before (each found by drawn values): drawn_records_and_loads_end_no_daemon failed in instance.rs and router.rs, drawn_reports_of_crashes_end_no_daemon in quarantine.rs, drawn_rosters_and_eras_end_no_daemon in era.rs. drawn_bytes_decode_or_are_refused passed before. drawn_reports_of_demand_leave_the_status_valid was written after the change to overload.rs and not run without it.

Change: these sums saturate. After: the five tests of tests/odd_records.rs pass, with 500 cases each.

--- a/src/era.rs
+++ b/src/era.rs
@@ -20,7 +20,7 @@
 
 /// Returns the version that follows `previous` in this era.
 pub fn next_version(previous: u64, era: u64) -> u64 {
-    (previous + 1).max(era * VERSIONS_PER_ERA + 1)
+    previous.saturating_add(1).max(era.saturating_mul(VERSIONS_PER_ERA).saturating_add(1))
 }
 
 /// Returns the era in which a version was given out.
--- a/src/instance.rs
+++ b/src/instance.rs
@@ -96,7 +96,7 @@
     /// Records the load that came with an answer.
     pub fn record_load(&self, load: Load, now: Time) {
         self.reported_at.store(now.as_micros(), Ordering::Relaxed);
-        self.reported_load.store(load.in_flight + load.queued, Ordering::Relaxed);
+        self.reported_load.store(load.in_flight.saturating_add(load.queued), Ordering::Relaxed);
         self.mean_us.store(load.mean_us, Ordering::Relaxed);
     }
 
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -122,8 +122,8 @@
     }
 
     fn add(&mut self, other: &Self) {
-        self.answers += other.answers;
-        self.refused += other.refused;
+        self.answers = self.answers.saturating_add(other.answers);
+        self.refused = self.refused.saturating_add(other.refused);
         self.waits += other.waits;
         self.busy += other.busy;
     }
@@ -194,7 +194,8 @@
         let answers = f64::from(seen.answers);
         Capacity {
             slots: local.slots,
-            wait: Duration::from_secs_f64(f64::from(seen.waits).max(0.0) / answers),
+            wait: Duration::try_from_secs_f64(f64::from(seen.waits).max(0.0) / answers)
+                .unwrap_or(MAX_WAIT),
             refused_fraction: f64::from(seen.refused) / answers,
             busy_fraction: f64::from(seen.busy) / answers,
         }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -112,7 +112,7 @@
     pub fn record_crash(&mut self, fingerprint: Fingerprint, now: Time) {
         let record =
             self.records.entry(fingerprint).or_insert(CrashRecord { crashes: 0, last_crash: now });
-        record.crashes += 1;
+        record.crashes = record.crashes.saturating_add(1);
         record.last_crash = now;
         self.evict_oldest();
     }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -101,8 +101,8 @@
         let first = self.version == 0;
         let settled = self.settled.clone().unwrap_or_else(|| self.members.clone());
         Some(Self {
-            version: self.version + 1,
-            epoch: self.epoch + 1,
+            version: self.version.saturating_add(1),
+            epoch: self.epoch.saturating_add(1),
             members,
             settled: (!first).then_some(settled),
         })
@@ -114,7 +114,11 @@
     pub fn settle(&self, acknowledged: &BTreeSet<&str>) -> Option<Self> {
         self.settled.as_ref()?;
         let complete = self.members.keys().all(|vm| acknowledged.contains(vm.as_str()));
-        complete.then(|| Self { version: self.version + 1, settled: None, ..self.clone() })
+        complete.then(|| Self {
+            version: self.version.saturating_add(1),
+            settled: None,
+            ..self.clone()
+        })
     }
 
     /// Marks the pending change as settled if every member has acknowledged it, according to the records
--- a/src/router.rs
+++ b/src/router.rs
@@ -53,7 +53,7 @@
     /// much as the latency objective, since the caller has to retry.
     fn expected_cost(&self, objective: Duration) -> f64 {
         let slots = f64::from(self.slots.max(1));
-        let utilization = f64::from(self.load + 1) / slots;
+        let utilization = (f64::from(self.load) + 1.0) / slots;
         let queueing = (utilization - 1.0).max(0.0);
         let slowdown = FULL_SLOWDOWN * utilization.min(1.0).powi(2);
         let last_slots = LAST_SLOT_COST
