Bound the time until the deadline of a call to another daemon

What callers see: on a route whose time-out is some hundred thousand years (the platform's manifest sets no bound) a request without a deadline of its own, sent to another VM, ended the task of the connection to it, with all calls that were pending there; the next such request ended the next connection.

Cause: the timers of the RPC library panic for a deadline that is too far away. Moments of this project saturate, and so such a deadline went as far as the library. Class of fault: a duration from outside is not bounded where it enters.

Evidence, before: a_deadline_too_far_away_ends_no_link failed, with "invalid deadline; err=Invalid" from the library's task. Change: the time of a call is bounded to an hour, the one place where deadlines are given to the library. After: the test passes.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -55,6 +55,10 @@
 /// Timeout for the answer to a ping.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Maximum time until the deadline of a call. The timers of a connection end it for a deadline that is
+/// years away, as a route without a sensible one has.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Interval between checks for connections that do not answer.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -384,7 +388,7 @@
 
 fn context_with_timeout(timeout: Duration) -> context::Context {
     let mut context = context::current();
-    context.deadline = Clock::instant_after(timeout);
+    context.deadline = Clock::instant_after(timeout.min(MAX_CALL_TIMEOUT));
     context
 }
 
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -6,10 +6,13 @@
 
 use fleet::{Fleet, document, plan, until};
 use gypsumtack::claim;
+use gypsumtack::document::Importance;
+use gypsumtack::envelope::{Envelope, RequestId};
 use gypsumtack::member::{Record, State};
+use gypsumtack::message::Message;
 use gypsumtack::store::{Commit, Transaction};
 use gypsumtack_standin::caller::{Answer, CallerRequest};
-use http::HeaderName;
+use http::{HeaderMap, HeaderName, Method};
 
 /// Adds a VM that serves `deep`.
 async fn add(fleet: &mut Fleet) {
@@ -183,3 +186,41 @@
         assert_serves(&fleet).await;
     }
 }
+
+/// Guards against a link between daemons that ends because of a deadline too far away for its timers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_too_far_away_ends_no_link() {
+    let mut fleet = Fleet::start(&document()).await;
+    for _ in 0..2 {
+        add(&mut fleet).await;
+    }
+    fleet.settle(&["deep"]).await;
+    let (shared, target) = (fleet.nodes[0].daemon.shared(), fleet.nodes[1].daemon.board());
+    for time_left_us in [5_000_000, u64::MAX / 1_000, u64::MAX] {
+        let envelope = Envelope {
+            request: RequestId::parse("0123456789abcdef").unwrap(),
+            customer: Some("acme".to_owned()),
+            route: "deep".to_owned(),
+            importance: Importance::Normal,
+            time_left_us,
+            deadline_ms: time_left_us / 1_000,
+            retry_budget: 0,
+            hops: 0,
+            caller: String::new(),
+            service: "deep".to_owned(),
+            objective_ms: 100,
+            wants_reached: false,
+            suspect: false,
+            claimed: false,
+        };
+        let message = Message {
+            method: Method::GET,
+            uri: "/deep".parse().unwrap(),
+            headers: HeaderMap::new(),
+            body: "".into(),
+        };
+        let peers = target.settings.listen.peers;
+        let answer = shared.peers.run(shared, peers, envelope, message).await;
+        assert!(answer.is_ok_and(|answer| answer.status.is_success()), "{time_left_us} us left");
+    }
+}
