--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Creates a HEAD request for `path`.
+    pub fn head(path: &str) -> Self {
+        Self { method: Method::HEAD, ..Self::get(path) }
+    }
+
     /// Creates a POST request that sends `body` to `path`.
     pub fn post(path: &str, body: Bytes) -> Self {
         Self { method: Method::POST, body, ..Self::get(path) }
