Take an answer that switches protocols for a bad one

What callers see: an instance that answers 101 without having been asked to switch protocols. The daemon passed it on as the answer of a request that had run, so the caller's connection left HTTP or waited for the answer after it.

Cause: the HTTP client takes 101 for a final answer, unlike the other interim ones, and the daemon believed it. Daemons never ask for an upgrade: the header is not forwarded.

Evidence, before: an_answer_that_is_framed_wrongly_is_no_success failed with the two new cases, a GET got "status: 101, x-outcome: ran, content-length: 0". Change: an informational status is an incomplete answer (bad-answer, unknown), and its connection is closed. After: the five tests of tests/truncated.rs pass.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -182,6 +182,9 @@
     limit: u64,
 ) -> Result<(WholeAnswer, SendRequest<Full<Bytes>>), RequestError> {
     let (parts, body) = response.into_parts();
+    if parts.status.is_informational() {
+        return Err(RequestError::Incomplete(format!("{} is no final answer", parts.status)));
+    }
     let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
     Ok(((parts.status, parts.headers, body), sender))
 }
--- a/tests/truncated.rs
+++ b/tests/truncated.rs
@@ -214,6 +214,8 @@
         "HTTP/1.1 100 Continue\r\n\r\n".to_owned(),
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-le".to_owned(),
         "HTTP/1.1 103 Early Hints\r\nlink: x".to_owned(),
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nhello".to_owned(),
+        "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n".to_owned(),
         "HTTP/1.1 200".to_owned(),
         "HTTP/1.1 20\r\n\r\n".to_owned(),
         "HTTP/9.9 200 OK\r\ncontent-length: 5\r\n\r\nhello".to_owned(),
