Test that a daemon takes no odd record from another one's heartbeat

With the check of heartbeats switched off (a trial), an_odd_record_in_a_heartbeat_names_no_vm fails: a record with port 0 arrives together with an honest one.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -224,3 +224,27 @@
         assert!(answer.is_ok_and(|answer| answer.status.is_success()), "{time_left_us} us left");
     }
 }
+
+/// Guards against odd records of a daemon that does not check what it forwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_record_in_a_heartbeat_names_no_vm() {
+    let mut fleet = Fleet::start(&document()).await;
+    for _ in 0..2 {
+        add(&mut fleet).await;
+    }
+    until_all_are_known(&fleet).await;
+    let unusable: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let odd = Record { peers: unusable, ..record("odd") };
+    let honest = Record { state: State::Waiting, ..record("honest") };
+    let [sender, receiver] = [0, 1].map(|node| fleet.nodes[node].daemon.board());
+    sender.update_view(|view, now| {
+        view.merge(odd, now);
+        view.merge(honest, now);
+    });
+    sender.heartbeat_due.notify_one();
+    until("the honest record has arrived", || {
+        receiver.read_view(|view| view.get("honest").is_some())
+    })
+    .await;
+    assert!(receiver.read_view(|view| view.get("odd").is_none()));
+}
