Start a background task again after a panic

A background task that panicked ended without a line of its own, and its daemon served on without following the store, the documents or the other VMs, until it was restarted. No panic of these tasks by an odd entry is known now; this bounds the damage of the next one.

The task that writes claims is left as it was, since it owns its queues. Its panic is still silent.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::store::{Client, WireProtocol};
+use crate::supervise::restart_after_panic;
 use crate::time::{self, Clock};
 use crate::{claims, controllers, egress, entry, feed, ops, peer, pipeline, wire};
 
@@ -155,13 +156,13 @@
         let listener_tasks = ListenerTasks::open(&shared, listeners, adapter.operators)?;
         let tasks = vec![
             tokio::spawn(claims::run(Arc::clone(&shared), receiver)),
-            tokio::spawn(feed::run(Arc::clone(&shared))),
-            tokio::spawn(peer::watch_connections(Arc::clone(&shared))),
-            tokio::spawn(controllers::admission(Arc::clone(&shared))),
-            tokio::spawn(controllers::load_logs(Arc::clone(&shared))),
-            tokio::spawn(controllers::heartbeats(Arc::clone(&shared))),
-            tokio::spawn(controllers::registration(Arc::clone(&shared))),
-            tokio::spawn(controllers::rosters(Arc::clone(&shared))),
+            spawn_background("feed", &shared, feed::run),
+            spawn_background("connections", &shared, peer::watch_connections),
+            spawn_background("admission", &shared, controllers::admission),
+            spawn_background("load-logs", &shared, controllers::load_logs),
+            spawn_background("heartbeats", &shared, controllers::heartbeats),
+            spawn_background("registration", &shared, controllers::registration),
+            spawn_background("rosters", &shared, controllers::rosters),
         ];
         let own = &shared.board.settings;
         tracing::info!(event = "started", vm = own.vm, callers = %own.listen.callers);
@@ -209,6 +210,19 @@
     }
 }
 
+/// Spawns a background task that starts again after a panic.
+fn spawn_background<F>(
+    name: &'static str,
+    shared: &Arc<Shared>,
+    task: fn(Arc<Shared>) -> F,
+) -> JoinHandle<()>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = Arc::clone(shared);
+    tokio::spawn(restart_after_panic(name, move || task(Arc::clone(&shared))))
+}
+
 /// Hands the VM's shares back to the store, and returns whether the store confirmed that.
 async fn hand_back(shared: &Shared) -> bool {
     match tokio::time::timeout(HAND_BACK_TIMEOUT, controllers::hand_back(shared)).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod shared;
 pub mod shedding;
 pub mod store;
+pub mod supervise;
 pub mod sync;
 pub mod tables;
 pub mod time;
