--- a/src/rows.rs
+++ b/src/rows.rs
@@ -51,3 +51,17 @@
     let decoded = raw.map(|raw| serde_json::from_str(raw.get())).transpose();
     decoded.map_err(|error| format!("{name}: {error}"))
 }
+
+/// Serializes the value of a row as a string where the row itself is written as JSON.
+pub(crate) mod value {
+    use bytes::Bytes;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub(crate) fn serialize<S: Serializer>(value: &Bytes, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&String::from_utf8_lossy(value))
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
+        String::deserialize(from).map(Bytes::from)
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -26,7 +26,7 @@
 use crate::era::{Era, Observation};
 use crate::error::StoreError;
 use crate::message;
-use crate::rows::UnreadableRow;
+use crate::rows::{self, UnreadableRow};
 use crate::settings;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -44,7 +44,7 @@
     /// The number of the commit that last wrote it, from 1.
     pub version: u64,
     /// The value; JSON unless another program wrote it.
-    #[serde(with = "text")]
+    #[serde(with = "rows::value")]
     pub value: Bytes,
 }
 
@@ -489,17 +489,3 @@
 fn unexpected_reply(reply: &Reply) -> StoreError {
     StoreError::AnswerLost(format!("the reply does not match the request: {reply:?}"))
 }
-
-/// Serializes the value of a row as a string where the row itself is written as JSON.
-mod text {
-    use bytes::Bytes;
-    use serde::{Deserialize, Deserializer, Serializer};
-
-    pub(super) fn serialize<S: Serializer>(value: &Bytes, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_str(&String::from_utf8_lossy(value))
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
-        String::deserialize(from).map(Bytes::from)
-    }
-}
