--- a/src/connection.rs
+++ b/src/connection.rs
@@ -251,6 +251,9 @@
     if !matches(&AnswerHead { status: parts.status, headers: &parts.headers, is_first }) {
         return Err(RequestError::Unmatched(parts.status));
     }
+    if parts.status.is_informational() {
+        return Err(RequestError::Incomplete(format!("{} is no final answer", parts.status)));
+    }
     let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
     Ok((parts.status, parts.headers, body))
 }
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -257,7 +257,7 @@
             return Ok(());
         }
         let Some(row) = shared.store.row(&key).await? else { continue };
-        let old: Option<Record> = row.decode();
+        let old = decode_member(shared, &row);
         if old.is_some_and(|old| old.incarnation > record.incarnation) {
             return Ok(());
         }
@@ -268,10 +268,21 @@
     )))
 }
 
+/// Decodes a member's row. Returns `None` if it does not hold a valid record of the VM that it is named
+/// after.
+fn decode_member(shared: &Shared, row: &Row) -> Option<Record> {
+    shared.store.decode(row, |record: &Record| {
+        if row.key.strip_prefix(MEMBERS) != Some(&record.vm) {
+            return Err(format!("the record is one of {}", record.vm));
+        }
+        record.validate()
+    })
+}
+
 async fn scan(shared: &Shared) -> Result<(), StoreError> {
     let board = &shared.board;
     let rows = shared.store.scan(MEMBERS).await?.rows;
-    let records: Vec<Record> = rows.iter().filter_map(Row::decode).collect();
+    let records: Vec<Record> = rows.iter().filter_map(|row| decode_member(shared, row)).collect();
     let me = &board.settings.vm;
     board.mark_members_scanned();
     board.update_view(|view, now| {
@@ -377,11 +388,21 @@
     live.map(|member| (member.record.vm.clone(), member.record.domain.clone())).collect()
 }
 
+/// Reads the roster, and returns the version of its row.
+///
+/// A damaged row is written again by a daemon that holds the roster. One that holds none must not take
+/// its own VM for the only one of the roster while others may hold it.
 async fn read_roster(shared: &Shared) -> Result<u64, StoreError> {
+    let board = &shared.board;
     let Some(row) = shared.store.row(roster::KEY).await? else { return Ok(0) };
-    let roster: Option<Roster> = row.decode();
-    let damaged = || StoreError::Refused(format!("the row {} is damaged", roster::KEY));
-    shared.board.install_roster(roster.ok_or_else(damaged)?);
+    let era = shared.store.era().number;
+    match shared.store.decode(&row, |roster: &Roster| roster.validate(era)) {
+        Some(roster) => drop(board.install_roster(roster)),
+        None if board.roster.load().version == 0 => {
+            return Err(StoreError::Refused(format!("the row {} is damaged", roster::KEY)));
+        }
+        None => {}
+    }
     Ok(row.version)
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -26,9 +26,11 @@
 use crate::era::{Era, Observation};
 use crate::error::StoreError;
 use crate::message;
+use crate::rows::{self, UnreadableRow};
 use crate::settings;
 use crate::sync::lock;
 use crate::time::{Clock, Time};
+use crate::unreadable::{UnreadableCounter, UnreadableRows};
 
 /// Time after which an idle connection to the store is closed. Longer than the pauses between store
 /// requests without traffic, so that connections are reused.
@@ -42,7 +44,7 @@
     /// The number of the commit that last wrote it, from 1.
     pub version: u64,
     /// The value; JSON unless another program wrote it.
-    #[serde(with = "text")]
+    #[serde(with = "rows::value")]
     pub value: Bytes,
 }
 
@@ -128,6 +130,10 @@
     /// Whether there are more rows; the next page starts after the last key.
     #[serde(default)]
     pub more: bool,
+    /// Rows that cannot be read. Where the key and the version can, `rows` has the row as well, without
+    /// a value, since it exists.
+    #[serde(skip)]
+    pub unreadable: Vec<UnreadableRow>,
 }
 
 /// A request to the store.
@@ -219,6 +225,7 @@
     breaker: Mutex<CircuitBreaker>,
     last_answer: AtomicU64,
     era: watch::Sender<Era>,
+    unreadable: UnreadableRows,
 }
 
 impl Client {
@@ -241,9 +248,28 @@
             breaker: Mutex::new(CircuitBreaker::default()),
             last_answer: AtomicU64::new(0),
             era: watch::Sender::default(),
+            unreadable: UnreadableRows::default(),
         }
     }
 
+    /// Counts rows that cannot be read in `counter`.
+    #[must_use]
+    pub fn with_unreadable_counter(self, counter: UnreadableCounter) -> Self {
+        Self { unreadable: UnreadableRows::new(counter), ..self }
+    }
+
+    /// Decodes the value of a row and validates it. Returns `None` and records the row as unreadable if
+    /// it is not a valid `T`, since another program may have written it.
+    pub fn decode<T: DeserializeOwned>(
+        &self,
+        row: &Row,
+        validate: impl FnOnce(&T) -> Result<(), String>,
+    ) -> Option<T> {
+        let decoded = serde_json::from_slice(&row.value).map_err(|error| error.to_string());
+        let valid = decoded.and_then(|value| validate(&value).map(|()| value));
+        valid.inspect_err(|problem| self.unreadable.record(&row.key, row.version, problem)).ok()
+    }
+
     /// Returns the era of the store that is known here.
     pub fn era(&self) -> Era {
         *self.era.borrow()
@@ -338,9 +364,15 @@
             let Some(last) = all.rows.last().map(|row| row.key.clone()) else { break };
             let request = StoreRequest::Scan { prefix, from: Some(&last), after };
             let page = into_rows(self.request(request).await?)?;
+            if page.rows.is_empty() {
+                // No row of the page can be read, so there is no key to continue after.
+                break;
+            }
             all.more = page.more;
             all.rows.extend(page.rows);
         }
+        // Not every protocol of a store can leave out older rows.
+        all.rows.retain(|row| row.version > after);
         Ok(all)
     }
 
@@ -430,7 +462,13 @@
         }
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| StoreError::AnswerLost(error.to_string()))?;
-        (self.wire.decode)(request, status, body.to_bytes())
+        let reply = (self.wire.decode)(request, status, body.to_bytes())?;
+        if let Reply::Rows(rows) = &reply {
+            for row in &rows.unreadable {
+                self.unreadable.record(&row.key, row.version, &row.problem);
+            }
+        }
+        Ok(reply)
     }
 
     fn with_breaker<T>(&self, action: impl FnOnce(&mut CircuitBreaker, Time) -> T) -> T {
@@ -451,17 +489,3 @@
 fn unexpected_reply(reply: &Reply) -> StoreError {
     StoreError::AnswerLost(format!("the reply does not match the request: {reply:?}"))
 }
-
-/// Serializes the value of a row as a string where the row itself is written as JSON.
-mod text {
-    use bytes::Bytes;
-    use serde::{Deserialize, Deserializer, Serializer};
-
-    pub(super) fn serialize<S: Serializer>(value: &Bytes, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_str(&String::from_utf8_lossy(value))
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
-        String::deserialize(from).map(Bytes::from)
-    }
-}
