Count the wait for a slot against a request's deadline

What callers see: a backend server is told more time than is left. A request that waits for a slot gets the wait added to its X-Deadline-Ms, so a repeat that waits ends later than its caller and than the first attempt (BUDGET).

Cause: since the daemon computes the deadline from the envelope twice: before the wait for a slot, and again when the request runs. The envelope holds the time left, not its end, so the second value is later by the wait. Class of fault: a span that is read again after time has passed.

Evidence: before the change, a_wait_for_a_slot_does_not_extend_the_deadline: "/deep from VM 0: told to work 1.488256s longer than the caller waits". a_repeat_ends_when_the_first_attempt_did was first written so that it could not fill the slots; in its present form it ran with the change only.

Change: the admission keeps the deadline with which the slot was requested. A reserved request takes the earlier of that and its own, newer envelope's.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -42,6 +42,7 @@
     /// Keeps other suspected requests from running, if the request is suspected.
     _suspect_permit: Option<SuspectPermit>,
     queue_wait: Duration,
+    deadline: Time,
 }
 
 impl Admission {
@@ -77,11 +78,13 @@
         false => None,
     };
     let queued = board.clock.now();
-    let slot_request = slot_request(shared, envelope, deadline_of(board, envelope));
+    // The envelope tells the time left when it arrived, so the wait for a slot counts against it.
+    let deadline = deadline_of(board, envelope);
+    let slot_request = slot_request(shared, envelope, deadline);
     let permit = board.gate.acquire(slot_request, &envelope.route).await.map_err(refuse)?;
     let queue_wait = board.clock.now().since(queued);
     board.record_queue_wait(envelope.importance, queue_wait);
-    Ok(Admission { backend, permit, _suspect_permit: suspect_permit, queue_wait })
+    Ok(Admission { backend, permit, _suspect_permit: suspect_permit, queue_wait, deadline })
 }
 
 /// Runs a request that holds a slot.
@@ -93,8 +96,9 @@
 ) -> Answer {
     let board = &shared.board;
     let request = envelope.request.clone();
-    let deadline = deadline_of(board, &envelope);
-    let Admission { backend, mut permit, _suspect_permit, queue_wait } = admission;
+    let Admission { backend, mut permit, _suspect_permit, queue_wait, deadline } = admission;
+    // The envelope of a reserved request is newer than its admission.
+    let deadline = deadline.min(deadline_of(board, &envelope));
     let started = permit.restart();
     let entry = board.live.insert(LiveRequest::new(envelope.clone(), deadline));
     let running = RunningCount::begin(shared, &envelope.route);
--- /dev/null
+++ b/tests/deadlines.rs
@@ -0,0 +1,128 @@
+//! The time that backend servers are told to have, against the time that callers wait.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::scripted::{Arrival, Ending, Scripted};
+use fleet::{Fleet, document, plan, until};
+use gypsumtack::message::{DEADLINE, IDEMPOTENCY_KEY};
+use gypsumtack::time::Time;
+use gypsumtack_standin::backend::OPERATION;
+use gypsumtack_standin::caller::{Answer, CallerRequest};
+
+/// Slots of each instance, as [`Fleet::replace_backend`] announces them.
+const SLOTS: usize = 4;
+
+/// How long requests of the operation `hold` keep their slots.
+const HOLD_TIME: Duration = Duration::from_millis(1_500);
+
+/// How long callers wait, and by how much the time that a backend server is told may exceed that.
+const CALLER_TIMEOUT_MS: u64 = 4_000;
+const MAX_EXCESS: Duration = Duration::from_millis(500);
+
+/// Starts an entry, and instances whose backend servers follow `script`.
+async fn start_fleet(
+    count: usize,
+    script: impl Fn(usize, &Arrival) -> (Duration, Ending) + Clone + Send + Sync + 'static,
+) -> (Fleet, Vec<Scripted>) {
+    let document = document().replace("queue_ms = 1000", "queue_ms = 4000");
+    let mut fleet = Fleet::start(&document).await;
+    fleet.add("a", plan("front", 8, 1, &[])).await;
+    let mut servers = Vec::new();
+    for index in 0..count {
+        let node = fleet.add("a", plan("deep", 8, 1, &[])).await;
+        let script = script.clone();
+        let script = move |arrival: &Arrival| script(index, arrival);
+        let server = Scripted::start(fleet.seen.clock, script).await;
+        fleet.replace_backend(node, server.address).await;
+        servers.push(server);
+    }
+    fleet.settle(&["front"]).await;
+    for node in &fleet.nodes {
+        let board = node.daemon.board();
+        until("all instances are known", || {
+            let known = board.instances.load().for_service("deep").len() == count;
+            known && board.read_view(|view| view.iter().all(|vm| vm.record.slots <= 8))
+        })
+        .await;
+    }
+    (fleet, servers)
+}
+
+fn request(path: &str, operation: &str) -> CallerRequest {
+    CallerRequest::get(path)
+        .key("acme-key")
+        .header(OPERATION, operation)
+        .header(IDEMPOTENCY_KEY, operation)
+}
+
+async fn ask(fleet: &Fleet, node: usize, path: &str, operation: &str) -> Answer {
+    let timeout = CALLER_TIMEOUT_MS.to_string();
+    fleet.ask(node, request(path, operation).header(DEADLINE, &timeout)).await
+}
+
+fn script(_: usize, arrival: &Arrival) -> (Duration, Ending) {
+    let is_hold = arrival.operation.starts_with("hold");
+    (if is_hold { HOLD_TIME } else { Duration::ZERO }, Ending::Status(200))
+}
+
+/// Fills all slots of the only instance of a node, and returns when each has a request.
+async fn fill_slots(fleet: &Fleet, node: usize, server: &Scripted) {
+    let caller = fleet.caller.clone();
+    let address = fleet.nodes[node].callers();
+    let before = server.arrivals().len();
+    for index in 0..SLOTS {
+        let (caller, request) = (caller.clone(), request("/deep", &format!("hold-{index}")));
+        tokio::spawn(async move { caller.send(address, request).await });
+    }
+    until("all slots are taken", || server.arrivals().len() == before + SLOTS).await;
+}
+
+fn assert_ends(arrival: &Arrival, bound: Time, what: &str) {
+    let deadline = arrival.deadline().expect("no deadline was sent");
+    let excess = deadline.since(bound);
+    assert!(excess <= MAX_EXCESS, "{what}: told to work {excess:?} longer than the caller waits");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_wait_for_a_slot_does_not_extend_the_deadline() {
+    for (entry, path) in [(0, "/deep"), (1, "/deep"), (0, "/sign"), (1, "/sign")] {
+        let (fleet, servers) = start_fleet(1, script).await;
+        fill_slots(&fleet, 1, &servers[0]).await;
+        let sent = fleet.seen.clock.now();
+        assert_eq!(ask(&fleet, entry, path, "late").await.outcome(), "ran");
+        let arrival = servers[0].arrival("late").unwrap();
+        assert!(arrival.at.since(sent) > MAX_EXCESS, "the request did not wait");
+        let bound = sent + Duration::from_millis(CALLER_TIMEOUT_MS);
+        assert_ends(&arrival, bound, &format!("{path} from VM {entry}"));
+    }
+}
+
+/// The first instance fails late, and the repeat waits for a slot of the second one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_ends_when_the_first_attempt_did() {
+    let script = |index: usize, arrival: &Arrival| match (index, arrival.operation.as_str()) {
+        (0, "late") => (HOLD_TIME, Ending::Status(500)),
+        (1, "hold") => (HOLD_TIME * 2, Ending::Status(200)),
+        _ => (Duration::ZERO, Ending::Status(200)),
+    };
+    let (fleet, servers) = start_fleet(2, script).await;
+    let calm = futures::future::join_all((0..40).map(|_| ask(&fleet, 0, "/deep", "calm"))).await;
+    assert!(calm.iter().all(|answer| answer.outcome() == "ran"));
+    let held = || servers[1].arrivals().iter().filter(|one| one.operation == "hold").count();
+    while held() < SLOTS {
+        let (caller, address) = (fleet.caller.clone(), fleet.nodes[0].callers());
+        tokio::spawn(async move { caller.send(address, request("/deep", "hold")).await });
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let sent = fleet.seen.clock.now();
+    let answer = ask(&fleet, 0, "/deep", "late").await;
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "ran"));
+    let bound = sent + Duration::from_millis(CALLER_TIMEOUT_MS);
+    let arrivals: Vec<_> = servers.iter().filter_map(|server| server.arrival("late")).collect();
+    for arrival in &arrivals {
+        assert_ends(arrival, bound, "an attempt");
+    }
+    assert_eq!(arrivals.len(), 2, "the request was not repeated");
+}
