Read a deadline header that has a fraction

What callers see: a caller that sends a deadline of 1200.5 ms is taken for one that sent none. The backend server is told the deadline of the route, here 5,000 ms, and works for a caller that has left.

Cause: the header was read as a whole number only.

Evidence: a_backend_server_is_told_no_more_time_than_the_caller_and_the_route_allow failed before: "/deep, deadline "1200.5": told Some(4997) ms". It also covers no header, values above the route's, above 64 bits, negative ones and text, which gave no more than the route's deadline before as well.

Change: the header is read as a decimal number.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -59,10 +59,12 @@
     answer
 }
 
-/// Returns how long the caller waits for the answer, if it sent a valid deadline header.
+/// Returns how long the caller waits for the answer, if it sent a valid deadline header, which may have
+/// a fraction.
 fn caller_timeout(dialect: &Dialect, headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(&dialect.deadline)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_millis)
+    let millis: f64 = text.trim().parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
 }
 
 /// What the entry has found out about a request so far.
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -21,6 +21,9 @@
 const CALLER_TIMEOUT_MS: u64 = 4_000;
 const MAX_EXCESS: Duration = Duration::from_millis(500);
 
+/// The deadline of the routes.
+const ROUTE_DEADLINE_MS: u64 = 5_000;
+
 /// Starts an entry, and instances whose backend servers follow `script`.
 async fn start_fleet(
     count: usize,
@@ -126,3 +129,36 @@
     }
     assert_eq!(arrivals.len(), 2, "the request was not repeated");
 }
+
+/// Values of the deadline header, each with how long its caller waits.
+const DEADLINES_MS: [(&str, u64); 8] = [
+    ("1200", 1_200),
+    (" 1200 ", 1_200),
+    ("1200.5", 1_200),
+    ("60000", ROUTE_DEADLINE_MS),
+    ("18446744073709551615", ROUTE_DEADLINE_MS),
+    ("99999999999999999999999", ROUTE_DEADLINE_MS),
+    ("-1", ROUTE_DEADLINE_MS),
+    ("soon", ROUTE_DEADLINE_MS),
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_is_told_no_more_time_than_the_caller_and_the_route_allow() {
+    let (fleet, servers) = start_fleet(1, script).await;
+    for path in ["/deep", "/sign"] {
+        for (value, allowed_ms) in DEADLINES_MS {
+            let operation = format!("{path} {value}").replace(['.', ' ', '/'], "_");
+            let answer = fleet.ask(0, request(path, &operation).header(DEADLINE, value)).await;
+            assert_eq!(answer.outcome(), "ran", "{value}: {answer:?}");
+            let told = servers[0].arrival(&operation).unwrap().time_left_ms;
+            assert!(
+                told.is_some_and(|told| told <= allowed_ms),
+                "{path}, deadline {value:?}: told {told:?} ms"
+            );
+        }
+        let operation = format!("{path}_without").replace('/', "_");
+        assert_eq!(fleet.ask(0, request(path, &operation)).await.outcome(), "ran");
+        let told = servers[0].arrival(&operation).unwrap().time_left_ms;
+        assert!(told.is_some_and(|told| told <= ROUTE_DEADLINE_MS), "no header: told {told:?} ms");
+    }
+}
