Answer a request without time left as not run

What callers see: 504, outcome unknown, for a request whose deadline has passed before it was sent anywhere. Its caller must not try it again although it did not run.

Cause: an attempt with no time left was handed to the link with a timeout of zero, and a timeout counts as unknown.

Evidence: a_request_without_time_left_reaches_no_backend_server failed before: left "unknown", right "not-run" (504, deadline-passed).

Change: such an attempt is refused before anything is sent. An earlier attempt's unknown outcome still ranks before it.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -248,6 +248,10 @@
 ) -> Answer {
     let board = &shared.board;
     let time_left = call.deadline.since(board.clock.now());
+    if time_left.is_zero() {
+        let reason = Reason::DeadlinePassed { deadline_ms: call.envelope.deadline_ms };
+        return Answer::not_run(call.envelope.request.clone(), reason);
+    }
     let reserved = retry_budget.reserve_half();
     let envelope = Envelope {
         time_left_us: time_left.as_micros() as u64,
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -162,3 +162,13 @@
         assert!(told.is_some_and(|told| told <= ROUTE_DEADLINE_MS), "no header: told {told:?} ms");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_time_left_reaches_no_backend_server() {
+    let (fleet, servers) = start_fleet(1, script).await;
+    for path in ["/deep", "/sign"] {
+        let answer = fleet.ask(0, request(path, "over").header(DEADLINE, "0")).await;
+        assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+    }
+    assert_eq!(servers[0].arrivals().len(), 0);
+}
