Count the repeats that refusals written once more cause

Hypothesis 1 of the incident: a refusal that a backend server writes once more is taken for that of the next request, which then runs and is sent on.

--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use fleet::{Fleet, settings_text, until};
@@ -34,13 +34,19 @@
 /// Callers' requests per second.
 const RATE: f64 = 40.0;
 
-/// Time in which every run is answered, and the time after that in which answers are lost.
+/// Time in which every run is answered, and the time after that in which backend servers are faulty.
 const CALM_TIME: Duration = Duration::from_secs(3);
-const LOSS_TIME: Duration = Duration::from_secs(6);
+const FAULT_TIME: Duration = Duration::from_secs(6);
 
 /// Fraction of the runs of the deepest service whose answers are lost.
 const LOST_FRACTION: f64 = 0.3;
 
+/// Fraction of the requests that every backend server refuses when refusals are repeated.
+const REFUSED_FRACTION: f64 = 0.2;
+
+/// Marks an answer as a refusal.
+const REFUSED: HeaderName = HeaderName::from_static("x-refused");
+
 /// Bound of the repeats at a service, as a fraction of the requests for it, and the number of repeats
 /// that are allowed beyond it.
 const MAX_REPEAT_RATIO: f64 = 0.2;
@@ -49,17 +55,27 @@
 /// Sent by a run that is a repeat with each call.
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 
+const NO_BODY: &str = "content-length: 0\r\n\r\n";
+
 /// What the backend servers of one service received.
 #[derive(Debug, Default)]
 struct Arrivals {
     known: BTreeSet<String>,
+    ran: BTreeSet<String>,
     repeats: usize,
+    /// Arrivals of requests that had run before.
+    second_runs: usize,
 }
 
 #[derive(Debug, Default)]
 struct History {
     services: std::sync::Mutex<BTreeMap<&'static str, Arrivals>>,
+    /// Whether the deepest service loses answers.
     losing: AtomicBool,
+    /// Whether all services refuse requests, and write each refusal once more on its connection.
+    refusing: AtomicBool,
+    /// Number of refusals that were written once more.
+    written_again: AtomicUsize,
 }
 
 impl History {
@@ -69,11 +85,39 @@
         let arrivals = services.entry(service).or_default();
         let is_repeat = !arrivals.known.insert(request.to_owned()) || by_repeat;
         arrivals.repeats += usize::from(is_repeat);
+        arrivals.second_runs += usize::from(arrivals.ran.contains(request));
         is_repeat
     }
+
+    fn record_run(&self, service: &'static str, request: &str) {
+        lock(&self.services).entry(service).or_default().ran.insert(request.to_owned());
+    }
+
+    fn assert_within_bound(&self) {
+        for (service, arrivals) in lock(&self.services).iter() {
+            let (requests, repeats) = (arrivals.known.len(), arrivals.repeats);
+            let allowed = MAX_REPEAT_RATIO * requests as f64 + MAX_EXTRA_REPEATS;
+            println!(
+                "{service}: {requests} requests, {repeats} repeats, {} of requests that had run, \
+                 {allowed:.0} allowed",
+                arrivals.second_runs
+            );
+            assert!(
+                repeats as f64 <= allowed,
+                "{service}: {repeats} repeats for {requests} requests, {allowed:.0} allowed"
+            );
+        }
+    }
+}
+
+/// How a backend server ends a request.
+enum Ending {
+    Status(u16),
+    Refused,
+    Lost,
 }
 
-/// A backend server that can lose answers by closing the connection.
+/// A backend server that can lose answers by closing the connection, and repeat refusals.
 #[derive(Debug)]
 struct Server {
     depth: usize,
@@ -91,6 +135,7 @@
 
     async fn serve_connection(self: Arc<Self>, mut stream: TcpStream) {
         let mut buffer = Vec::new();
+        let mut refusal: Option<String> = None;
         loop {
             let mut part = [0; 2048];
             match stream.read(&mut part).await {
@@ -103,22 +148,37 @@
                 let prefix = format!("{name}: ");
                 text[..end].lines().find_map(|line| line.strip_prefix(&prefix)).unwrap_or_default()
             };
-            let Some(status) = self.run(header(&REQUEST_ID), !header(&REPEAT).is_empty()).await
-            else {
-                return;
+            let id = header(&REQUEST_ID).to_owned();
+            let ending = self.run(&id, !header(&REPEAT).is_empty()).await;
+            let answer = match ending {
+                Ending::Status(status) => {
+                    format!("HTTP/1.1 {status} Ended\r\n{REQUEST_ID}: {id}\r\n{NO_BODY}")
+                }
+                Ending::Refused => {
+                    format!("HTTP/1.1 503 Full\r\n{REQUEST_ID}: {id}\r\n{REFUSED}: 1\r\n{NO_BODY}")
+                }
+                Ending::Lost => return,
             };
-            let answer = format!("HTTP/1.1 {status} Ended\r\ncontent-length: 0\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).await.is_err() {
+            let again = refusal.take().unwrap_or_default();
+            self.history.written_again.fetch_add(usize::from(!again.is_empty()), Ordering::Relaxed);
+            if stream.write_all((again + &answer).as_bytes()).await.is_err() {
                 return;
             }
+            if matches!(ending, Ending::Refused) {
+                refusal = Some(answer);
+            }
             buffer.drain(..end + 4);
         }
     }
 
-    /// Runs a request and returns the status of its answer, or `None` if the answer is lost.
-    async fn run(&self, request: &str, by_repeat: bool) -> Option<u16> {
+    async fn run(&self, request: &str, by_repeat: bool) -> Ending {
         let (service, calls) = SERVICES[self.depth];
         let is_repeat = self.history.record(service, request, by_repeat);
+        let is_refusing = self.history.refusing.load(Ordering::Relaxed);
+        if is_refusing && rand::rng().random_bool(REFUSED_FRACTION) {
+            return Ending::Refused;
+        }
+        self.history.record_run(service, request);
         for _ in 0..calls {
             let id = Token::random(&mut rand::rng()).to_string();
             let call = CallerRequest::get(&format!("/{}", SERVICES[self.depth + 1].0))
@@ -127,11 +187,12 @@
             let call = if is_repeat { call.header(REPEAT, "1") } else { call };
             let answer = self.caller.send(self.egress, call).await;
             if !answer.is_ok_and(|answer| answer.status.is_success()) {
-                return Some(500);
+                return Ending::Status(500);
             }
         }
         let is_losing = calls == 0 && self.history.losing.load(Ordering::Relaxed);
-        (!is_losing || !rand::rng().random_bool(LOST_FRACTION)).then_some(200)
+        let is_lost = is_losing && rand::rng().random_bool(LOST_FRACTION);
+        if is_lost { Ending::Lost } else { Ending::Status(200) }
     }
 }
 
@@ -161,6 +222,7 @@
     dialect.token = None;
     dialect.idempotency_key = None;
     dialect.caller_chosen_ids = true;
+    dialect.not_run = Some(REFUSED);
     let mut daemons = Vec::new();
     for (depth, (service, _)) in SERVICES.iter().enumerate() {
         for instance in 0..INSTANCES {
@@ -222,24 +284,30 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn lost_answers_deep_in_the_call_graph_exceed_no_retry_bound() {
+/// Sends requests while all is well, and then while `fault` is set.
+async fn send_requests_with(fault: fn(&History) -> &AtomicBool, seed: u64) -> Arc<History> {
     let history = Arc::new(History::default());
     let (_fleet, daemons) = start_fleet(&history).await;
-    let mut rng = StdRng::seed_from_u64(26);
+    let mut rng = StdRng::seed_from_u64(seed);
     let clock = Clock::start();
     send_requests(&daemons, clock, Time::ZERO + CALM_TIME, &mut rng).await;
-    history.losing.store(true, Ordering::Relaxed);
-    send_requests(&daemons, clock, Time::ZERO + CALM_TIME + LOSS_TIME, &mut rng).await;
-    let services = lock(&history.services);
-    assert!(services["catalogue"].repeats > 0, "no answer was lost");
-    for (service, arrivals) in services.iter() {
-        let (requests, repeats) = (arrivals.known.len(), arrivals.repeats);
-        let allowed = MAX_REPEAT_RATIO * requests as f64 + MAX_EXTRA_REPEATS;
-        println!("{service}: {requests} requests, {repeats} repeats, {allowed:.0} allowed");
-        assert!(
-            repeats as f64 <= allowed,
-            "{service}: {repeats} repeats for {requests} requests, {allowed:.0} allowed"
-        );
-    }
+    fault(&history).store(true, Ordering::Relaxed);
+    send_requests(&daemons, clock, Time::ZERO + CALM_TIME + FAULT_TIME, &mut rng).await;
+    history
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_deep_in_the_call_graph_exceed_no_retry_bound() {
+    let history = send_requests_with(|history| &history.losing, 26).await;
+    assert!(lock(&history.services)["catalogue"].repeats > 0, "no answer was lost");
+    history.assert_within_bound();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_that_are_written_again_exceed_no_retry_bound() {
+    let history = send_requests_with(|history| &history.refusing, 29).await;
+    let written_again = history.written_again.load(Ordering::Relaxed);
+    println!("{written_again} refusals were written again");
+    assert!(written_again > 0, "no refusal was written again");
+    history.assert_within_bound();
 }
