--- a/src/backend.rs
+++ b/src/backend.rs
@@ -7,8 +7,9 @@
 
 use crate::announcement::BackendServer;
 use crate::board::Board;
-use crate::connection::{RequestError, WholeAnswer};
+use crate::connection::{AnswerHead, RequestError, WholeAnswer};
 use crate::document::{CustomerId, Policy};
+use crate::echo::Echo;
 use crate::envelope::{Envelope, Load, ReachedService, Report, RequestTiming};
 use crate::gate::Permit;
 use crate::guard::SlotRequest;
@@ -19,7 +20,7 @@
 use crate::message::{self, Answer, Message};
 use crate::metrics::GuardLabels;
 use crate::notices::Notices;
-use crate::reason::{Outcome, Reason};
+use crate::reason::{self, Outcome, Reason};
 use crate::shared::Shared;
 use crate::sync::lock;
 use crate::time::Time;
@@ -251,11 +252,20 @@
     let headers = daemon_headers(shared, backend, entry, time_left);
     let limit = shared.board.policy.load().limits.answer_bytes;
     let is_idempotent = !live.envelope.claimed;
+    // Decided before anything is taken from the answer, and before its connection is used again.
+    let matches = |head: &AnswerHead<'_>| {
+        let echo = Echo::of(&shared.dialect, &request, head);
+        if echo != Echo::Own {
+            shared.board.record_unmatched(&shared.dialect, &request, echo, head);
+        }
+        echo.is_own()
+    };
     let response = shared.server.send_request(
         backend.address,
         message.into_request(headers),
         is_idempotent,
         limit,
+        matches,
     );
     match tokio::time::timeout(time_left, response).await {
         Ok(Ok(answer)) => classify_response(shared, backend, live, answer),
@@ -301,7 +311,7 @@
 }
 
 /// Distinguishes the backend server's answer to this request from a refusal by the backend server, and
-/// from a response that belongs to another request or comes from another process.
+/// from a response that comes from another process.
 fn classify_response(
     shared: &Shared,
     backend: &BackendServer,
@@ -325,13 +335,17 @@
         answer.report.leaving = leaving;
         return answer;
     }
-    let echoed_id = headers.get(&dialect.request_id);
-    let mismatched = dialect.caller_chosen_ids
-        && echoed_id.is_some_and(|echoed_id| *echoed_id != request.to_header());
-    if unsealed || mismatched {
-        let problem = format!("the backend server's answer belongs to no request ({status})");
+    if unsealed {
+        let problem = format!("the backend server's answer has no seal ({status})");
         return Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem });
     }
+    if live.envelope.claimed && reason::promises_not_run(status) {
+        let problem =
+            format!("the backend server answered {status} and does not say that it ran nothing");
+        let mut answer = Answer::refusal(request, Outcome::Ran, Reason::BadAnswer { problem });
+        answer.report.leaving = leaving;
+        return answer;
+    }
     message::strip_headers(&mut headers, &shared.private);
     let report = Report { leaving, ..Report::new(request, Outcome::Ran, None) };
     Answer { status, headers, body, report }
@@ -361,6 +375,10 @@
         RequestError::Broken(error) => {
             (Outcome::Unknown, format!("the backend server broke off ({error})"))
         }
+        RequestError::Unmatched(status) => {
+            let problem = format!("the backend server's answer belongs to no request ({status})");
+            (Outcome::Unknown, problem)
+        }
         RequestError::Incomplete(error) => {
             (Outcome::Unknown, format!("the backend server's answer is bad: {error}"))
         }
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use fleet::scripted::{Arrival, Ending, REFUSED, Scripted};
+use fleet::recorder::{Arrival, Ending, REFUSED, Recorder};
 use fleet::{Fleet, document, plan, until};
 use gypsumtack::message::{DEADLINE, IDEMPOTENCY_KEY};
 use gypsumtack_standin::backend::OPERATION;
@@ -45,7 +45,7 @@
     (Duration::ZERO, ending)
 }
 
-async fn start_fleet() -> (Fleet, Vec<Scripted>) {
+async fn start_fleet() -> (Fleet, Vec<Recorder>) {
     let mut document = document();
     for route in ["deep", "sign"] {
         let retries = format!("[routes.{route}]\nretries = {}\n", MAX_ATTEMPTS - 1);
@@ -58,7 +58,7 @@
     for index in 0..INSTANCES {
         let node = fleet.add("a", plan("deep", 8, 1, &[])).await;
         let script = move |arrival: &Arrival| script(index, arrival);
-        let server = Scripted::start(fleet.seen.clock, script).await;
+        let server = Recorder::start(fleet.seen.clock, script).await;
         fleet.replace_backend(node, server.address).await;
         servers.push(server);
     }
@@ -74,7 +74,7 @@
 /// Sends requests one after the other, and returns the most instances and the most arrivals of one.
 async fn send_requests(
     fleet: &Fleet,
-    servers: &[Scripted],
+    servers: &[Recorder],
     (path, kind): (&str, usize),
 ) -> (usize, usize) {
     let name = |index: usize| format!("{kind}-{}-{index}", path.trim_start_matches('/'));
@@ -94,7 +94,7 @@
             sending.await;
         }
     }
-    let arrivals: Vec<_> = servers.iter().map(Scripted::arrivals).collect();
+    let arrivals: Vec<_> = servers.iter().map(Recorder::arrivals).collect();
     let reached = |operation: &str| {
         let of_operation = |server: usize| {
             arrivals[server].iter().filter(|arrival| arrival.operation == operation).count()
--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fleet::scripted::{Arrival, Ending, Scripted};
+use fleet::recorder::{Arrival, Ending, Recorder};
 use fleet::{Fleet, document, plan, until};
 use gypsumtack::message::{DEADLINE, IDEMPOTENCY_KEY};
 use gypsumtack::time::Time;
@@ -28,7 +28,7 @@
 async fn start_fleet(
     count: usize,
     script: impl Fn(usize, &Arrival) -> (Duration, Ending) + Clone + Send + Sync + 'static,
-) -> (Fleet, Vec<Scripted>) {
+) -> (Fleet, Vec<Recorder>) {
     let document = document().replace("queue_ms = 1000", "queue_ms = 4000");
     let mut fleet = Fleet::start(&document).await;
     fleet.add("a", plan("front", 8, 1, &[])).await;
@@ -37,7 +37,7 @@
         let node = fleet.add("a", plan("deep", 8, 1, &[])).await;
         let script = script.clone();
         let script = move |arrival: &Arrival| script(index, arrival);
-        let server = Scripted::start(fleet.seen.clock, script).await;
+        let server = Recorder::start(fleet.seen.clock, script).await;
         fleet.replace_backend(node, server.address).await;
         servers.push(server);
     }
@@ -71,7 +71,7 @@
 }
 
 /// Fills all slots of the only instance of a node, and returns when each has a request.
-async fn fill_slots(fleet: &Fleet, node: usize, server: &Scripted) {
+async fn fill_slots(fleet: &Fleet, node: usize, server: &Recorder) {
     let caller = fleet.caller.clone();
     let address = fleet.nodes[node].callers();
     let before = server.arrivals().len();
--- a/tests/fleet/scripted.rs
+++ b/tests/fleet/scripted.rs
@@ -1,130 +1,155 @@
-//! A backend server on a real socket that follows a script and records what it receives.
+//! A backend server on real sockets whose bytes a test chooses, and its dialect, in which it returns the
+//! request id and says in a header that it did not run a request.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use gypsumtack::message::DEADLINE;
-use gypsumtack::sync::lock;
-use gypsumtack::time::{Clock, Time};
-use gypsumtack_standin::backend::OPERATION;
+use gypsumtack::dialect::Dialect;
 use http::HeaderName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Marks an answer as a refusal.
-pub const REFUSED: HeaderName = HeaderName::from_static("x-refused");
-
-/// A request that arrived.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    /// The operation that it belongs to.
-    pub operation: String,
-    /// The time that the backend server is told to have, in milliseconds.
-    pub time_left_ms: Option<u64>,
-    /// When it arrived.
-    pub at: Time,
-}
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+pub const SEAL: HeaderName = HeaderName::from_static("x-seal");
 
-impl Arrival {
-    /// When the backend server is to stop working on it.
-    pub fn deadline(&self) -> Option<Time> {
-        Some(self.at + Duration::from_millis(self.time_left_ms?))
+/// Returns a dialect without claims, in which the status alone tells callers whether a request ran.
+pub fn dialect() -> Dialect {
+    Dialect {
+        request_id: REQUEST_ID,
+        caller_chosen_ids: true,
+        echoes_id: true,
+        token: None,
+        not_run: Some(NOT_RUN),
+        seal: Some(SEAL),
+        idempotency_key: None,
+        ..Dialect::own()
     }
 }
 
-/// How a request ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// It is answered with this status.
-    Status(u16),
-    /// It is refused and does not run.
-    Refused,
-    /// The connection is closed without an answer.
-    Closed,
-    /// The answer is not HTTP.
-    Garbage,
-    /// It is never answered.
-    Silence,
+/// A request as a script sees it.
+pub struct Turn {
+    pub id: String,
+    /// Number of the connection, from 0.
+    pub connection: u64,
+    /// Number of requests that the connection has carried before.
+    pub index: u64,
+    /// The id of the request before it on the connection.
+    pub earlier: Option<String>,
 }
 
-type Script = dyn Fn(&Arrival) -> (Duration, Ending) + Send + Sync;
+/// What a script does with a request, one step after the other.
+pub enum Step {
+    /// Runs the request.
+    Run,
+    Write(String),
+    Pause(Duration),
+    /// Ends the connection. Unread input resets it.
+    Close,
+}
 
-pub struct Scripted {
-    pub address: SocketAddr,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
+/// Returns an answer with the ids, and with the seal or the header of a refusal.
+pub fn answer(status: &str, ids: &[&str], mark: &HeaderName, body: &str) -> String {
+    let ids: String = ids.iter().map(|id| format!("{REQUEST_ID}: {id}\r\n")).collect();
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\n{ids}{mark}: 1\r\ncontent-length: {length}\r\n\r\n{body}")
 }
 
-impl Scripted {
-    /// Starts a backend server that ends each request after the time, and in the way, that `script` says.
-    pub async fn start(
-        clock: Clock,
-        script: impl Fn(&Arrival) -> (Duration, Ending) + Send + Sync + 'static,
-    ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let arrivals = Arc::new(Mutex::new(Vec::new()));
-        let (seen, script): (_, Arc<Script>) = (Arc::clone(&arrivals), Arc::new(script));
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, clock, Arc::clone(&seen), Arc::clone(&script)));
-            }
-        });
-        Self { address, arrivals }
-    }
+pub fn success(ids: &[&str]) -> String {
+    answer("200 OK", ids, &SEAL, ids.first().unwrap_or(&""))
+}
 
-    /// Returns the requests that have arrived, in order.
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        lock(&self.arrivals).clone()
+pub fn refusal(ids: &[&str]) -> String {
+    answer("503 Service Unavailable", ids, &NOT_RUN, "")
+}
+
+/// How often each request ran, over all backend servers that share it.
+#[derive(Clone, Default)]
+pub struct Runs(Arc<Mutex<BTreeMap<String, u32>>>);
+
+impl Runs {
+    pub fn of(&self, id: &str) -> u32 {
+        self.0.lock().unwrap().get(id).copied().unwrap_or_default()
     }
 
-    /// Returns the first arrival of an operation.
-    pub fn arrival(&self, operation: &str) -> Option<Arrival> {
-        lock(&self.arrivals).iter().find(|arrival| arrival.operation == operation).cloned()
+    fn count(&self, id: &str) {
+        *self.0.lock().unwrap().entry(id.to_owned()).or_default() += 1;
     }
 }
 
+/// Starts a backend server that follows `script` for each request.
+pub async fn start<S>(runs: Runs, script: S) -> SocketAddr
+where
+    S: Fn(&Turn) -> Vec<Step> + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (script, connections) = (Arc::new(script), AtomicU64::new(0));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (runs, script) = (runs.clone(), Arc::clone(&script));
+            let connection = connections.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let _ = serve(stream, connection, &runs, &*script).await;
+            });
+        }
+    });
+    address
+}
+
 async fn serve(
     mut stream: TcpStream,
-    clock: Clock,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
-    script: Arc<Script>,
-) {
-    let mut buffer = Vec::new();
+    connection: u64,
+    runs: &Runs,
+    script: &(dyn Fn(&Turn) -> Vec<Step> + Send + Sync),
+) -> std::io::Result<()> {
+    let (mut input, mut earlier) = (Vec::new(), None);
+    for index in 0.. {
+        let Some(id) = read_request(&mut stream, &mut input).await? else { break };
+        let turn = Turn { id, connection, index, earlier: earlier.take() };
+        for step in script(&turn) {
+            match step {
+                Step::Run => runs.count(&turn.id),
+                Step::Write(text) => stream.write_all(text.as_bytes()).await?,
+                Step::Pause(span) => tokio::time::sleep(span).await,
+                Step::Close => return Ok(()),
+            }
+        }
+        earlier = Some(turn.id);
+    }
+    Ok(())
+}
+
+/// Reads one request with its body. Returns its id, or `None` at the end of the connection.
+async fn read_request(
+    stream: &mut TcpStream,
+    input: &mut Vec<u8>,
+) -> std::io::Result<Option<String>> {
     loop {
-        let mut part = [0; 2048];
-        match stream.read(&mut part).await {
-            Ok(read @ 1..) => buffer.extend_from_slice(&part[..read]),
-            _ => return,
+        if let Some((id, length)) = parse_request(input) {
+            input.drain(..length);
+            return Ok(Some(id));
         }
-        let text = String::from_utf8_lossy(&buffer).to_ascii_lowercase();
-        let Some(end) = text.find("\r\n\r\n") else { continue };
-        let header = |name: &HeaderName| {
-            let prefix = format!("{name}: ");
-            text[..end].lines().find_map(|line| line.strip_prefix(&prefix)).map(str::to_owned)
-        };
-        let arrival = Arrival {
-            operation: header(&OPERATION).unwrap_or_default(),
-            time_left_ms: header(&DEADLINE).and_then(|text| text.parse().ok()),
-            at: clock.now(),
-        };
-        lock(&arrivals).push(arrival.clone());
-        let (time, ending) = script(&arrival);
-        tokio::time::sleep(time).await;
-        let answer = match ending {
-            Ending::Status(status) => {
-                format!("HTTP/1.1 {status} Ended\r\ncontent-length: 0\r\n\r\n")
-            }
-            Ending::Refused => {
-                format!("HTTP/1.1 503 Full\r\n{REFUSED}: 1\r\ncontent-length: 0\r\n\r\n")
-            }
-            Ending::Garbage => "no answer\r\n\r\n".to_owned(),
-            Ending::Closed => return,
-            Ending::Silence => std::future::pending().await,
-        };
-        if stream.write_all(answer.as_bytes()).await.is_err() || ending == Ending::Garbage {
-            return;
+        if stream.read_buf(input).await? == 0 {
+            return Ok(None);
         }
-        buffer.drain(..end + 4);
     }
 }
+
+/// Returns the id and the length of a request that is complete.
+fn parse_request(input: &[u8]) -> Option<(String, usize)> {
+    let end = input.windows(4).position(|bytes| bytes == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&input[..end]).into_owned();
+    let value = |wanted: &str| {
+        head.lines().find_map(|line| {
+            let (name, value) = line.split_once(": ")?;
+            name.eq_ignore_ascii_case(wanted).then(|| value.to_owned())
+        })
+    };
+    let length = value("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    (input.len() >= end + length)
+        .then(|| (value(REQUEST_ID.as_str()).unwrap_or_default(), end + length))
+}
