--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -119,13 +119,12 @@
             let request = request.header(IDEMPOTENCY_KEY, &format!("{path}-{operation}"));
             assert_eq!(fleet.ask(0, request.header(OPERATION, &operation)).await.outcome(), "ran");
         }
-        for kind in 0..ENDINGS.len() {
+        for (kind, endings) in ENDINGS.iter().enumerate() {
             let (instances, arrivals) = send_requests(&fleet, &servers, (path, kind)).await;
-            println!("{path} {:?}: {instances} instances, {arrivals} arrivals", ENDINGS[kind]);
+            println!("{path} {endings:?}: {instances} instances, {arrivals} arrivals");
             assert!(
                 instances <= MAX_ATTEMPTS && arrivals <= MAX_ATTEMPTS,
-                "{path} {:?}: {instances} instances, {arrivals} arrivals of one request",
-                ENDINGS[kind]
+                "{path} {endings:?}: {instances} instances, {arrivals} arrivals of one request"
             );
         }
     }
