Add up crashes that daemons saw before they heard of each other

What callers see: a request that crashes backend servers and enters at several daemons at once is let through again at each of them later, one retry each.

Cause: a report held a number of crashes, and merging kept the larger number. Any number of daemons that saw one crash each agreed on one crash, so the request stayed a suspect. Class of fault: merging counters by maximum without knowing what they count.

Evidence: crashes_that_daemons_saw_separately_add_up fails before: "Suspect after three crashes". a_request_that_crashed_instances_of_several_daemons_at_once_ reaches_no_more fails before, eight daemons on real sockets: "never: all daemons know of two crashes" (both run on, whose quarantine is the same).

Change: each crash has an id and a record holds the ids, at most as many as a quarantine takes. Merging joins the sets. The last crash moves only with an id that counts, since ages are whole seconds and would creep: a_crash_that_is_ reported_again_and_again_counts_once_and_expires holds before and after. Heartbeats of daemons before this change are not understood, as with earlier changes to what daemons exchange.

Tests: calls of record_crash name the crash; the check of two reported crashes counts ids instead of reading a number and is as strict.

--- a/examples/policy/crash.rs
+++ b/examples/policy/crash.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use gypsumtack::message::Message;
-use gypsumtack::quarantine::{CrashStatus, Fingerprint};
+use gypsumtack::quarantine::{CrashId, CrashStatus, Fingerprint};
 use http::{HeaderMap, Method, Uri};
 
 use crate::fakes::{World, intake};
@@ -55,7 +55,8 @@
         let crashed = std::mem::take(&mut self.frames[frame].crashed);
         let root = self.frames[frame].root;
         if crashed && self.roots[root].request.crashes {
-            self.quarantine.record_crash(fingerprint(), self.now);
+            let crash = CrashId::random(&mut rand::rng());
+            self.quarantine.record_crash(fingerprint(), crash, self.now);
         }
     }
 
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -17,7 +17,7 @@
 use crate::notices::{NamedLimit, Noticed, Notices};
 use crate::overload::{Capacity, DemandReport, OverloadStatus};
 use crate::pipeline::Delivery;
-use crate::quarantine::{CrashStatus, Fingerprint, Quarantine};
+use crate::quarantine::{CrashId, CrashStatus, Fingerprint, Quarantine};
 use crate::reason::Reason;
 use crate::sync::lock;
 use crate::time::Time;
@@ -324,7 +324,8 @@
     /// Records that a backend server crashed on a request, and triggers a heartbeat that informs other
     /// daemons.
     pub fn record_crash(&self, fingerprint: Fingerprint) {
-        self.update_quarantine(|quarantine, now| quarantine.record_crash(fingerprint, now));
+        let crash = CrashId::random(&mut rand::rng());
+        self.update_quarantine(|quarantine, now| quarantine.record_crash(fingerprint, crash, now));
         self.heartbeat_due.notify_one();
     }
 
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -5,9 +5,10 @@
 //! request in quarantine, where it is refused; heartbeats report this to all daemons. A request that
 //! merely ran at the time of the crash is cleared by one completed run. See docs/DESIGN.md, "Crashes".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::key::Digest;
@@ -15,7 +16,7 @@
 use crate::time::Time;
 
 /// Number of crashes that puts a request in quarantine.
-const QUARANTINE_CRASHES: u32 = 2;
+const QUARANTINE_CRASHES: usize = 2;
 
 /// How long a request remains a suspect without another crash.
 const SUSPECT_TIME: Duration = Duration::from_secs(120);
@@ -50,13 +51,24 @@
     }
 }
 
+/// Identifies one crash, so that daemons that hear of it from several others count it once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CrashId(u64);
+
+impl CrashId {
+    /// Creates the id of a new crash.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
+}
+
 /// Report about a suspect that one daemon sends another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Number of backend servers that crashed while running it.
-    pub crashes: u32,
+    /// Crashes of backend servers that were running it. More than it takes for a quarantine are left out.
+    pub crashes: BTreeSet<CrashId>,
     /// Time since the last of these crashes, in seconds.
     pub age_s: u64,
 }
@@ -78,18 +90,32 @@
     records: BTreeMap<Fingerprint, CrashRecord>,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default)]
 struct CrashRecord {
-    crashes: u32,
+    crashes: BTreeSet<CrashId>,
     last_crash: Time,
 }
 
 impl CrashRecord {
+    fn is_quarantined(&self) -> bool {
+        self.crashes.len() >= QUARANTINE_CRASHES
+    }
+
     fn expires_at(&self) -> Time {
-        let lifetime =
-            if self.crashes >= QUARANTINE_CRASHES { QUARANTINE_TIME } else { SUSPECT_TIME };
+        let lifetime = if self.is_quarantined() { QUARANTINE_TIME } else { SUSPECT_TIME };
         self.last_crash + lifetime
     }
+
+    /// Adds crashes, and returns whether they count beyond those that were known.
+    fn add(&mut self, crashes: &BTreeSet<CrashId>) -> bool {
+        let known = self.crashes.clone();
+        self.crashes.extend(crashes);
+        // All daemons keep the lowest ids, so that they agree in the end.
+        while self.crashes.len() > QUARANTINE_CRASHES {
+            self.crashes.pop_last();
+        }
+        self.crashes != known
+    }
 }
 
 impl Quarantine {
@@ -103,16 +129,15 @@
         self.records.retain(|_, record| record.expires_at() > now);
         match self.records.get(&fingerprint) {
             None => CrashStatus::Clear,
-            Some(record) if record.crashes < QUARANTINE_CRASHES => CrashStatus::Suspect,
+            Some(record) if !record.is_quarantined() => CrashStatus::Suspect,
             Some(record) => CrashStatus::Quarantined(record.expires_at().since(now)),
         }
     }
 
     /// Records that a backend server crashed while running the request.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, now: Time) {
-        let record =
-            self.records.entry(fingerprint).or_insert(CrashRecord { crashes: 0, last_crash: now });
-        record.crashes += 1;
+    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Time) {
+        let record = self.records.entry(fingerprint).or_default();
+        record.add(&BTreeSet::from([crash]));
         record.last_crash = now;
         self.evict_oldest();
     }
@@ -128,24 +153,24 @@
         records.sort_by_key(|(_, record)| std::cmp::Reverse(record.last_crash));
         let report = |(fingerprint, record): (&Fingerprint, &CrashRecord)| SuspectReport {
             fingerprint: *fingerprint,
-            crashes: record.crashes,
+            crashes: record.crashes.clone(),
             age_s: now.since(record.last_crash).as_secs(),
         };
         records.into_iter().take(MAX_REPORTS).map(report).collect()
     }
 
-    /// Merges the reports of another daemon. Of two crash counts the larger one is kept; adding them up
-    /// could count a crash twice.
+    /// Merges the reports of another daemon. Crashes that daemons have seen separately add up.
     pub fn merge(&mut self, reports: &[SuspectReport], now: Time) {
         for report in reports {
             let last_crash = now - Duration::from_secs(report.age_s);
-            let record = CrashRecord { crashes: report.crashes, last_crash };
-            if record.expires_at() <= now {
+            let reported = CrashRecord { crashes: report.crashes.clone(), last_crash };
+            if reported.expires_at() <= now {
                 continue;
             }
-            let known = self.records.entry(report.fingerprint).or_insert(record);
-            if known.crashes < record.crashes {
-                *known = record;
+            let known = self.records.entry(report.fingerprint).or_default();
+            // Ages are whole seconds, so a crash that is known would seem later with each report.
+            if known.add(&reported.crashes) {
+                known.last_crash = known.last_crash.max(last_crash);
             }
         }
         self.evict_oldest();
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use fleet::{Fleet, document, plan, until};
-use gypsumtack::message::Message;
-use gypsumtack::quarantine::{CrashStatus, Fingerprint, Quarantine};
+use gypsumtack::message::{IDEMPOTENCY_KEY, Message};
+use gypsumtack::quarantine::{CrashId, CrashStatus, Fingerprint, Quarantine};
 use gypsumtack::time::Time;
 use gypsumtack_standin::backend::CRASH;
 use gypsumtack_standin::caller::CallerRequest;
 use http::{HeaderMap, Method};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 fn fingerprint(body: &'static str) -> Fingerprint {
     let message = Message {
@@ -25,15 +27,16 @@
 
 #[test]
 fn a_second_crash_quarantines_a_request_and_a_completed_run_clears_it() {
+    let mut rng = StdRng::seed_from_u64(1);
     let mut quarantine = Quarantine::default();
     let (guilty, innocent) = (fingerprint("guilty"), fingerprint("innocent"));
     for suspect in [guilty, innocent] {
-        quarantine.record_crash(suspect, Time::ZERO);
+        quarantine.record_crash(suspect, CrashId::random(&mut rng), Time::ZERO);
         assert_eq!(quarantine.crash_status(suspect, Time::ZERO), CrashStatus::Suspect);
     }
     quarantine.record_completion(innocent);
     assert_eq!(quarantine.crash_status(innocent, Time::ZERO), CrashStatus::Clear);
-    quarantine.record_crash(guilty, Time::ZERO);
+    quarantine.record_crash(guilty, CrashId::random(&mut rng), Time::ZERO);
     assert!(matches!(quarantine.crash_status(guilty, Time::ZERO), CrashStatus::Quarantined(_)));
     let mut peer = Quarantine::default();
     peer.merge(&quarantine.recent_reports(Time::ZERO), Time::ZERO);
@@ -42,6 +45,76 @@
     assert_eq!(peer.crash_status(guilty, later), CrashStatus::Clear);
 }
 
+#[test]
+fn crashes_that_daemons_saw_separately_add_up() {
+    let request = fingerprint("guilty");
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut daemons: [Quarantine; 3] = std::array::from_fn(|_| Quarantine::default());
+    for daemon in &mut daemons {
+        daemon.record_crash(request, CrashId::random(&mut rng), Time::ZERO);
+    }
+    let reports = daemons.each_ref().map(|daemon| daemon.recent_reports(Time::ZERO));
+    for daemon in &mut daemons {
+        for report in &reports {
+            daemon.merge(report, Time::ZERO);
+        }
+        let status = daemon.crash_status(request, Time::ZERO);
+        assert!(matches!(status, CrashStatus::Quarantined(_)), "{status:?} after three crashes");
+    }
+}
+
+#[test]
+fn a_crash_that_is_reported_again_and_again_counts_once_and_expires() {
+    let request = fingerprint("suspect");
+    let mut daemons = [Quarantine::default(), Quarantine::default()];
+    daemons[0].record_crash(request, CrashId::random(&mut StdRng::seed_from_u64(3)), Time::ZERO);
+    for tenths in 0..1_300 {
+        let now = Time::from_millis(tenths * 100 + 50);
+        let reports = daemons.each_ref().map(|daemon| daemon.recent_reports(now));
+        daemons[0].merge(&reports[1], now);
+        daemons[1].merge(&reports[0], now);
+        let status = daemons.each_mut().map(|daemon| daemon.crash_status(request, now));
+        let expected = if tenths < 1_190 { CrashStatus::Suspect } else { CrashStatus::Clear };
+        let is_settled = !(1_190..1_220).contains(&tenths);
+        assert!(!is_settled || status == [expected; 2], "{status:?} at {now:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_instances_of_several_daemons_at_once_reaches_no_more() {
+    let mut fleet = Fleet::start(&document()).await;
+    for domain in ["a", "b", "a", "b", "a", "b", "a", "b"] {
+        fleet.add(domain, plan("deep", 8, 20, &[])).await;
+    }
+    fleet.settle(&["deep"]).await;
+    for node in &fleet.nodes {
+        let board = node.daemon.board();
+        until("all instances are known", || {
+            board.instances.load().for_service("deep").len() == fleet.nodes.len()
+        })
+        .await;
+    }
+    let send_to = |nodes: std::ops::Range<usize>, turn: u32| {
+        let sending = nodes.map(|node| {
+            let crash = CallerRequest::get("/sign").key("acme-key").header(CRASH, "1");
+            fleet.ask(node, crash.header(IDEMPOTENCY_KEY, &format!("crash-{turn}-{node}")))
+        });
+        futures::future::join_all(sending.collect::<Vec<_>>())
+    };
+    send_to(0..3, 1).await;
+    let reported = |node: &fleet::Node| {
+        let board = node.daemon.board();
+        let reports = gypsumtack::sync::lock(&board.quarantine).recent_reports(board.clock.now());
+        reports.iter().any(|report| report.crashes.len() >= 2)
+    };
+    until("all daemons know of two crashes", || fleet.nodes.iter().all(reported)).await;
+    let begun = fleet.begun();
+    for answer in send_to(0..8, 2).await {
+        assert_eq!((answer.outcome(), answer.reason()), ("not-run", "quarantined"), "{answer:?}");
+    }
+    assert_eq!(fleet.begun(), begun);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_every_instance_reaches_only_two() {
     let mut fleet = Fleet::start(&document()).await;
@@ -66,7 +139,7 @@
     let other = fleet.nodes[1].daemon.board();
     let reported = || {
         let quarantine = gypsumtack::sync::lock(&other.quarantine);
-        quarantine.recent_reports(other.clock.now()).iter().any(|report| report.crashes >= 2)
+        quarantine.recent_reports(other.clock.now()).iter().any(|report| report.crashes.len() >= 2)
     };
     until("another daemon has received the report", reported).await;
     let refused = fleet.ask(1, crash()).await;
