Log each attempt after one that reached no backend server

Cause: an attempt at another instance after a refusal by a daemon, or after a link that could not be opened, had no line in the log, only a count. The record of an incident then does not show which instances a request was sent to.

Change: a sampled line reroute with the fields of retry. No decision changes.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -104,11 +104,16 @@
             false
         } else if is_repeat {
             let granted = take_retry(board, call, &service.name, retry_budget);
-            log_retry(board, call, &instance, &answer, granted);
+            let kind = if granted { "retry" } else { "retry-denied" };
+            log_retry(board, call, &instance, &answer, kind);
             granted
         } else {
             reroutes += 1;
-            reroutes <= MAX_REROUTES
+            let granted = reroutes <= MAX_REROUTES;
+            if granted {
+                log_retry(board, call, &instance, &answer, "reroute");
+            }
+            granted
         };
         if send_again {
             count_retry(board, &service.name, &answer, is_repeat);
@@ -193,9 +198,8 @@
     answer.report.reason.as_ref().map_or("server-error", Reason::code)
 }
 
-/// Logs whether the retry budget allowed another attempt after one that may have reached a backend server.
-fn log_retry(board: &Board, call: &Call, instance: &Instance, failed: &Answer, granted: bool) {
-    let kind = if granted { "retry" } else { "retry-denied" };
+/// Logs another attempt, or that the retry budget denied one, by its `kind`.
+fn log_retry(board: &Board, call: &Call, instance: &Instance, failed: &Answer, kind: &'static str) {
     let Some(weight) = board.log_sampler.weigh(kind, board.clock.now()) else { return };
     tracing::info!(
         event = kind,
