Test that refusals and errors tell that a backend server is leaving

The users' page says that all answers of a leaving backend server have the header. Refusals and errors were read for it, but no test said so.

It is announced with an id: without one, a backend server cannot be told from its successor, and the header is not believed, by design. No fault found.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::{Fleet, Node, document, plan, until};
+use gypsumtack::announcement::BackendServer;
 use gypsumtack::daemon::Adapter;
 use gypsumtack::member::State;
 use gypsumtack::time::Time;
@@ -99,3 +100,40 @@
     send_requests(&fleet, &[1, 2], Duration::from_secs(2)).await;
     assert_eq!(arrived_since(&fleet, 0, before), 0);
 }
+
+/// What a backend server that is leaving answers besides success.
+const LEAVING_ANSWERS: [&str; 2] = [
+    "HTTP/1.1 503 Full\r\nx-refused: 1\r\nx-backend-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 500 Failed\r\nx-backend-leaving: 1\r\ncontent-length: 0\r\n\r\n",
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_says_it_is_leaving_in_a_refusal_or_an_error_gets_no_requests() {
+    for answer in LEAVING_ANSWERS {
+        let mut fleet = Fleet::start(&document()).await;
+        fleet.adapter.dialect.not_run = Some(http::HeaderName::from_static("x-refused"));
+        for domain in ["a", "a", "b"] {
+            fleet.add(domain, plan("deep", 16, 5, &[])).await;
+        }
+        fleet.settle(&["deep"]).await;
+        let arrived = fleet.strange(0, vec![answer]).await;
+        let board = fleet.nodes[0].daemon.board();
+        let announced = (*board.backend.load_full().unwrap()).clone();
+        board.announce(BackendServer { id: "one".to_owned(), ..announced });
+        until("it is announced with its id", || {
+            board.backend.load().as_ref().is_some_and(|backend| backend.id == "one")
+        })
+        .await;
+        let count = || arrived.load(std::sync::atomic::Ordering::Relaxed);
+        let ask = |node| fleet.ask(node, CallerRequest::get("/deep").key("acme-key"));
+        while count() == 0 {
+            ask(1).await;
+        }
+        tokio::time::sleep(DRAIN_TIME).await;
+        let before = count();
+        for index in 0..60 {
+            assert_eq!(ask(index % 3).await.outcome(), "ran");
+        }
+        assert_eq!(count(), before, "requests after {answer:?}");
+    }
+}
