--- a/src/board.rs
+++ b/src/board.rs
@@ -32,7 +32,7 @@
 use crate::shedding::SheddingDetector;
 use crate::sync::lock;
 use crate::tables::Tables;
-use crate::time::{Clock, Throttle, Time};
+use crate::time::{self, Clock, Throttle, Time};
 use crate::timings::Timings;
 
 /// Maximum time that a daemon waits after its start to learn from a peer which document is in force. A
@@ -303,6 +303,7 @@
             let (id, sequence) = (&backend.id, backend.sequence);
             return tracing::info!(event = "announcement-outdated", id, sequence);
         }
+        self.log_difference(&backend);
         let backend = self.with_notices(backend);
         let (started, sequence) = (backend.started, backend.sequence);
         *announced =
@@ -319,7 +320,11 @@
         tracing::info!(
             event = "backend-announced",
             id = backend.id,
+            started = backend.started,
+            age_ms = time::unix_millis().saturating_sub(backend.started),
             service = backend.service,
+            address = %backend.address,
+            slots = backend.slots,
             draining = backend.draining,
         );
         // A draining backend server keeps its slots for requests that have already arrived.
@@ -329,6 +334,25 @@
         self.publish_self();
     }
 
+    /// Logs what an announcement says otherwise than the settings.
+    fn log_difference(&self, backend: &BackendServer) {
+        let Settings { vm, service, backend: address, .. } = &self.settings;
+        let other_service = !service.is_empty() && *service != backend.service;
+        if other_service || address.is_some_and(|address| address != backend.address) {
+            tracing::warn!(
+                event = "announcement-differs",
+                vm,
+                id = backend.id,
+                started = backend.started,
+                sequence = backend.sequence,
+                service = backend.service,
+                expected_service = service,
+                address = %backend.address,
+                expected_address = address.map(tracing::field::display),
+            );
+        }
+    }
+
     /// Records that the local backend server withdraws permanently: it gets no new requests, and a late
     /// announcement does not reverse that.
     pub fn withdraw(&self, id: &str, started: u64) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,9 @@
     /// its service, requests that enter through this daemon are attributed to this one.
     #[serde(default)]
     pub service: String,
+    /// The address of the local backend server, if known in advance.
+    #[serde(default)]
+    pub backend: Option<SocketAddr>,
     /// The addresses on which the daemon listens.
     pub listen: Listen,
     /// The connection to the platform.
--- a/src/time.rs
+++ b/src/time.rs
@@ -132,10 +132,15 @@
     since_epoch().as_secs()
 }
 
+/// Milliseconds since the Unix epoch.
+pub fn unix_millis() -> u64 {
+    u64::try_from(since_epoch().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A number that increases with each start of a daemon: milliseconds since the Unix epoch. Starts on one
 /// VM are further apart than its clock's error.
 pub fn incarnation() -> u64 {
-    u64::try_from(since_epoch().as_millis()).unwrap_or(u64::MAX)
+    unix_millis()
 }
 
 fn since_epoch() -> Duration {
