Believe no announcement that contradicts the settings, and no single sequence number

Cause: everything that arrived at the announcements' address was believed. Service and address of the newest announcement replaced those of the settings, also as the caller service of requests that enter there. A sequence number or a start that was far too large outdated every later announcement for good, yet those were acknowledged. Class: one message of unproved origin decides a state that other sources contradict.

Change: - The settings name service and address (`backend`, from the platform's App), follow the file while running, and win. Impossible values (0 or 2^32-1 slots, port 0, ids that fit no header) are refused with 400, contradictions with 409. - `Runs` orders the rest, without a network: the newest holds, until a run that looks outdated keeps rising 10 s after the newest one was last continued. Draining of the same run holds at once. What may concern another run is not acknowledged. - A deregistration of a run that has not announced itself is remembered; one that cannot be read withdraws nothing.

Ruled out: a huge cold time (no decision uses it), overflow of `Time + Duration` (saturates).

--- a/src/announcement.rs
+++ b/src/announcement.rs
@@ -1,10 +1,27 @@
 //! Announcements that the local backend server sends to its daemon.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Maximum length of the id of a run, in bytes. It is sent with every request.
+const MAX_ID_BYTES: usize = 128;
+
+/// Maximum number of announced slots, so that the sum over the instances of a service is a `u32`.
+const MAX_SLOTS: u32 = 1 << 20;
+
+/// What the settings say of the local backend server. No announcement may differ from it, since not only
+/// the backend server can send one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Identity {
+    /// Its service; empty if it is not known in advance.
+    pub service: String,
+    /// The address on which it listens, if that is known in advance.
+    pub address: Option<SocketAddr>,
+}
+
 /// One announcement of the local backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -41,6 +58,37 @@
         (!self.id.is_empty()).then(|| xxh3_64(run.as_bytes()))
     }
 
+    /// Checks that an announcement can be true: that its values are possible, and that it names the service
+    /// and the address of `identity`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it names no backend server to use.
+    pub fn check(&self, identity: &Identity) -> Result<(), Rejection> {
+        if self.slots == 0 || self.service.is_empty() {
+            return Err(Rejection::Incomplete);
+        }
+        if self.slots > MAX_SLOTS {
+            return Err(Rejection::Slots { announced: self.slots });
+        }
+        if self.id.len() > MAX_ID_BYTES || !self.id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(Rejection::Id { length: self.id.len() });
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            return Err(Rejection::Unreachable { announced: self.address });
+        }
+        if !identity.service.is_empty() && identity.service != self.service {
+            let expected = identity.service.clone();
+            return Err(Rejection::Service { announced: self.service.clone(), expected });
+        }
+        match identity.address {
+            Some(expected) if expected != self.address => {
+                Err(Rejection::Address { announced: self.address, expected })
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Whether `other` announces the same state; the sequence number and the remaining slow time are not
     /// compared.
     pub(crate) fn has_same_state(&self, other: &Self) -> bool {
@@ -56,6 +104,77 @@
     }
 }
 
+/// Why an announcement names no backend server to use.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rejection {
+    /// It has no slots or no service.
+    Incomplete,
+    /// It has more slots than a backend server can.
+    Slots {
+        /// The announced number.
+        announced: u32,
+    },
+    /// Its id is too long, or cannot be sent in a header.
+    Id {
+        /// Its length in bytes.
+        length: usize,
+    },
+    /// Nothing can listen on its address.
+    Unreachable {
+        /// The announced address.
+        announced: SocketAddr,
+    },
+    /// It names another service than the settings.
+    Service {
+        /// The announced service.
+        announced: String,
+        /// The service of the settings.
+        expected: String,
+    },
+    /// It names another address than the settings.
+    Address {
+        /// The announced address.
+        announced: SocketAddr,
+        /// The address of the settings.
+        expected: SocketAddr,
+    },
+    /// It is of another run than the newest one.
+    OtherRun,
+}
+
+impl fmt::Display for Rejection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Incomplete => f.write_str("slots must be 1 or more and service must not be empty"),
+            Self::Slots { announced } => {
+                write!(f, "{announced} slots are announced; announce at most {MAX_SLOTS}")
+            }
+            Self::Id { length } => write!(
+                f,
+                "an id of {length} bytes is announced; use at most {MAX_ID_BYTES} visible ASCII characters"
+            ),
+            Self::Unreachable { announced } => write!(
+                f,
+                "nothing can listen on {announced}; announce the address of the backend server"
+            ),
+            Self::Service { announced, expected } => write!(
+                f,
+                "the service {announced:?} is announced, and the settings name {expected:?}; correct \
+                 whichever is wrong"
+            ),
+            Self::Address { announced, expected } => write!(
+                f,
+                "the address {announced} is announced, and the settings name {expected}; correct \
+                 whichever is wrong"
+            ),
+            Self::OtherRun => f.write_str(
+                "a later run has announced itself, or the start lies in the future; announce the time \
+                 of the start, and go on if no other run is there",
+            ),
+        }
+    }
+}
+
 /// Minimum number of announced slots from which some are kept free. With fewer, all are used.
 const MIN_SLOTS_FOR_SPARE: u32 = 10;
 
@@ -67,24 +186,3 @@
     let spare = if slots < MIN_SLOTS_FOR_SPARE { 0 } else { slots.div_ceil(SLOTS_PER_SPARE) };
     (slots - spare) as usize
 }
-
-/// The latest announcement of the local backend server. It is kept after the backend server has
-/// withdrawn, so that delayed announcements are still recognized.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct LastAnnouncement {
-    pub(crate) id: String,
-    pub(crate) started: u64,
-    pub(crate) sequence: u64,
-    pub(crate) withdrawn: bool,
-}
-
-impl LastAnnouncement {
-    /// Whether the announcement `backend` is outdated: it comes from an earlier run, is delayed, or
-    /// comes from a run that has withdrawn.
-    pub(crate) fn supersedes(&self, backend: &BackendServer) -> bool {
-        if (&self.id, self.started) != (&backend.id, backend.started) {
-            return backend.started < self.started;
-        }
-        self.withdrawn || backend.sequence < self.sequence
-    }
-}
--- a/src/board.rs
+++ b/src/board.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::allowance;
-use crate::announcement::{BackendServer, LastAnnouncement, usable_slots};
+use crate::announcement::{BackendServer, Identity};
 use crate::document::{Policy, RawDocument};
 use crate::envelope::ReachedService;
 use crate::feedback::Feedback;
@@ -28,11 +28,12 @@
 use crate::overload::OverloadController;
 use crate::quarantine::Quarantine;
 use crate::roster::Roster;
+use crate::runs::Runs;
 use crate::settings::Settings;
 use crate::shedding::SheddingDetector;
 use crate::sync::lock;
 use crate::tables::Tables;
-use crate::time::{self, Clock, Throttle, Time};
+use crate::time::{Clock, Throttle, Time};
 use crate::timings::Timings;
 
 /// Maximum time that a daemon waits after its start to learn from a peer which document is in force. A
@@ -72,10 +73,12 @@
     /// Instances derived from the members, as requests use them. Derived again when the members or the
     /// document change, and after each round of heartbeats.
     pub instances: ArcSwap<Instances>,
+    /// What the settings say of the local backend server. Written when they are read again.
+    pub(crate) identity: ArcSwap<Identity>,
     /// The last announcement of the local backend server.
     pub backend: ArcSwapOption<BackendServer>,
-    /// Order and withdrawal of that announcement, to ignore those that arrive late.
-    announced: Mutex<LastAnnouncement>,
+    /// The runs of the local backend server, to ignore announcements that arrive late.
+    pub(crate) runs: Mutex<Runs>,
     /// Admission to the local backend server.
     pub gate: Arc<Gate>,
     /// Requests that are running on the local backend server.
@@ -92,6 +95,8 @@
     pub(crate) noticed: Mutex<Noticed>,
     /// Limits the log lines about limits that cannot be read.
     pub(crate) notice_log: Throttle,
+    /// Limits the log lines about announcements that name no backend server to use.
+    pub(crate) rejection_log: Throttle,
     /// Limits the log lines about overload of the local service.
     pub(crate) overload_log: Throttle,
     /// Limits the number of log lines about refusals and late answers.
@@ -124,7 +129,7 @@
     leaving: AtomicBool,
     /// Time from which the local backend server accepts no new requests, in microseconds; `u64::MAX`
     /// while none is scheduled.
-    closing: AtomicU64,
+    pub(crate) closing: AtomicU64,
     /// Time since which this failure domain is isolated, in microseconds; `u64::MAX` while it is not.
     isolated_since: AtomicU64,
     /// Time at which the store last confirmed the document in force, in microseconds.
@@ -153,8 +158,9 @@
             tables: ArcSwap::default(),
             view: Mutex::default(),
             instances: ArcSwap::default(),
+            identity: ArcSwap::from_pointee(settings.identity()),
             backend: ArcSwapOption::empty(),
-            announced: Mutex::default(),
+            runs: Mutex::default(),
             gate: Arc::new(Gate::new(clock, longest_wait)),
             live: LiveTable::default(),
             roster: ArcSwap::default(),
@@ -163,6 +169,7 @@
             shedding: SheddingDetector::default(),
             noticed: Mutex::default(),
             notice_log: Throttle::default(),
+            rejection_log: Throttle::default(),
             overload_log: Throttle::default(),
             log_sampler: Sampler::default(),
             timings: Timings::default(),
@@ -296,84 +303,6 @@
         self.update_view(|_, _| ());
     }
 
-    /// Records an announcement of the local backend server. One that is older than the last is ignored.
-    pub fn announce(&self, backend: BackendServer) {
-        let mut announced = lock(&self.announced);
-        if announced.supersedes(&backend) {
-            let (id, sequence) = (&backend.id, backend.sequence);
-            return tracing::info!(event = "announcement-outdated", id, sequence);
-        }
-        self.log_difference(&backend);
-        let backend = self.with_notices(backend);
-        let (started, sequence) = (backend.started, backend.sequence);
-        *announced =
-            LastAnnouncement { id: backend.id.clone(), started, sequence, withdrawn: false };
-        let known = self.backend.load();
-        if known.as_ref().is_some_and(|known| known.has_same_state(&backend)) {
-            return;
-        }
-        if backend.draining {
-            self.schedule_closing();
-        } else if !self.is_leaving() {
-            self.closing.store(u64::MAX, Ordering::Release);
-        }
-        tracing::info!(
-            event = "backend-announced",
-            id = backend.id,
-            started = backend.started,
-            age_ms = time::unix_millis().saturating_sub(backend.started),
-            service = backend.service,
-            address = %backend.address,
-            slots = backend.slots,
-            draining = backend.draining,
-        );
-        // A draining backend server keeps its slots for requests that have already arrived.
-        let slots = usable_slots(backend.slots);
-        self.backend.store(Some(Arc::new(backend)));
-        self.gate.set_slots(slots);
-        self.publish_self();
-    }
-
-    /// Logs what an announcement says otherwise than the settings.
-    fn log_difference(&self, backend: &BackendServer) {
-        let Settings { vm, service, backend: address, .. } = &self.settings;
-        let other_service = !service.is_empty() && *service != backend.service;
-        if other_service || address.is_some_and(|address| address != backend.address) {
-            tracing::warn!(
-                event = "announcement-differs",
-                vm,
-                id = backend.id,
-                started = backend.started,
-                sequence = backend.sequence,
-                service = backend.service,
-                expected_service = service,
-                address = %backend.address,
-                expected_address = address.map(tracing::field::display),
-            );
-        }
-    }
-
-    /// Records that the local backend server withdraws permanently: it gets no new requests, and a late
-    /// announcement does not reverse that.
-    pub fn withdraw(&self, id: &str, started: u64) {
-        let mut announced = lock(&self.announced);
-        if announced.id != id || (started != 0 && started != announced.started) {
-            return;
-        }
-        announced.withdrawn = true;
-        tracing::info!(event = "backend-withdrawn", id);
-        if let Some(known) = self.backend.load_full() {
-            self.close_backend((*known).clone());
-        }
-    }
-
-    /// Lets the local backend server drain, although it has not announced that.
-    pub(crate) fn close_backend(&self, backend: BackendServer) {
-        self.schedule_closing();
-        self.backend.store(Some(Arc::new(BackendServer { draining: true, ..backend })));
-        self.publish_self();
-    }
-
     /// Whether the local backend server accepts new requests.
     ///
     /// When it drains or withdraws, or the daemon shuts down, it still accepts them for `leave_ms`,
@@ -383,19 +312,12 @@
         self.backend.load().is_some() && self.clock.now() < closing
     }
 
-    fn schedule_closing(&self) {
+    pub(crate) fn schedule_closing(&self) {
         let span = Duration::from_millis(self.settings.limits.leave_ms);
         let closing = (self.clock.now() + span).as_micros();
         self.closing.fetch_min(closing, Ordering::AcqRel);
     }
 
-    /// The service of the local backend server: the announced one, else that of the settings. Empty
-    /// while neither is known.
-    pub fn own_service(&self) -> String {
-        let announced = self.backend.load().as_ref().map(|backend| backend.service.clone());
-        announced.unwrap_or_else(|| self.settings.service.clone())
-    }
-
     /// Whether this daemon can serve callers: its document is current and it is not leaving.
     pub fn is_serving(&self) -> bool {
         self.is_current() && !self.is_leaving()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod returns;
 pub mod roster;
 pub mod router;
+pub mod runs;
 pub mod server;
 pub mod settings;
 pub mod share;
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::announcement::BackendServer;
+use crate::announcement::{BackendServer, Identity, Rejection, usable_slots};
 use crate::board::Board;
 use crate::document::Importance;
 use crate::envelope::{Load, ReachedService};
@@ -16,8 +16,9 @@
 use crate::pipeline::Delivery;
 use crate::quarantine::{CrashStatus, Fingerprint, Quarantine};
 use crate::reason::Reason;
+use crate::runs::{Verdict, Withdrawal};
 use crate::sync::lock;
-use crate::time::Time;
+use crate::time::{self, Time};
 
 /// Fraction of the announced slots that counts as capacity. Requests cannot fill all of them, since some
 /// are kept free (`announcement::usable_slots`).
@@ -33,6 +34,133 @@
 const MIN_LOGGED_DELAY: Duration = Duration::from_millis(50);
 
 impl Board {
+    /// Records an announcement of the local backend server. One that is older than the newest changes
+    /// nothing, unless it says that the same run drains.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the announcement does not hold. It is not acknowledged then.
+    pub fn announce(&self, backend: BackendServer) -> Result<(), Rejection> {
+        let mut runs = lock(&self.runs);
+        let checked = backend.check(&self.identity.load());
+        checked.inspect_err(|rejection| self.log_rejection(&backend, rejection))?;
+        let verdict = runs.judge(&backend, self.clock.now(), time::unix_millis());
+        match verdict {
+            Verdict::Newest => {
+                self.record_announcement(self.with_notices(backend));
+                return Ok(());
+            }
+            Verdict::Delayed if backend.draining => {
+                if let Some(known) = self.backend.load_full().filter(|known| !known.draining) {
+                    self.close_backend((*known).clone());
+                }
+            }
+            Verdict::Delayed | Verdict::Withdrawn | Verdict::OtherRun => {}
+        }
+        let (id, started, sequence) = (&backend.id, backend.started, backend.sequence);
+        tracing::info!(event = "announcement-outdated", id, started, sequence, ?verdict);
+        if verdict == Verdict::OtherRun { Err(Rejection::OtherRun) } else { Ok(()) }
+    }
+
+    fn log_rejection(&self, backend: &BackendServer, rejection: &Rejection) {
+        if !self.rejection_log.is_due(self.clock.now(), LOG_INTERVAL) {
+            return;
+        }
+        tracing::warn!(
+            event = "announcement-rejected",
+            vm = self.settings.vm,
+            id = backend.id,
+            started = backend.started,
+            sequence = backend.sequence,
+            problem = %rejection,
+        );
+    }
+
+    fn record_announcement(&self, backend: BackendServer) {
+        let known = self.backend.load();
+        if known.as_ref().is_some_and(|known| known.has_same_state(&backend)) {
+            return;
+        }
+        if backend.draining {
+            self.schedule_closing();
+        } else if !self.is_leaving() {
+            self.closing.store(u64::MAX, Ordering::Release);
+        }
+        tracing::info!(
+            event = "backend-announced",
+            id = backend.id,
+            started = backend.started,
+            age_ms = time::unix_millis().saturating_sub(backend.started),
+            service = backend.service,
+            address = %backend.address,
+            slots = backend.slots,
+            draining = backend.draining,
+        );
+        // A draining backend server keeps its slots for requests that have already arrived.
+        let slots = usable_slots(backend.slots);
+        self.backend.store(Some(Arc::new(backend)));
+        self.gate.set_slots(slots);
+        self.publish_self();
+    }
+
+    /// Records that a run of the local backend server withdraws permanently: it gets no new requests, and a
+    /// late announcement does not reverse that. `started` is 0 if the start of the run is not known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another run of the same id has announced itself since.
+    pub fn withdraw(&self, id: &str, started: u64) -> Result<(), Rejection> {
+        let mut runs = lock(&self.runs);
+        let withdrawal = runs.withdraw(id, started, time::unix_millis());
+        tracing::info!(event = "backend-withdrawn", id, started, ?withdrawal);
+        match withdrawal {
+            Withdrawal::Newest => {
+                if let Some(known) = self.backend.load_full() {
+                    self.close_backend((*known).clone());
+                }
+                Ok(())
+            }
+            Withdrawal::Unannounced => Ok(()),
+            Withdrawal::OtherRun => Err(Rejection::OtherRun),
+        }
+    }
+
+    /// The service of the local backend server: that of the settings, else the announced one. Empty while
+    /// neither is known.
+    pub fn own_service(&self) -> String {
+        let identity = self.identity.load();
+        if !identity.service.is_empty() {
+            return identity.service.clone();
+        }
+        self.backend.load().as_ref().map(|backend| backend.service.clone()).unwrap_or_default()
+    }
+
+    /// Takes what the settings now say of the local backend server. One that they contradict is used no
+    /// more.
+    pub fn set_identity(&self, identity: Identity) {
+        if **self.identity.load() == identity {
+            return;
+        }
+        // No announcement is checked against the former identity and recorded after this.
+        let _runs = lock(&self.runs);
+        let Identity { service, address } = &identity;
+        let address = address.map(tracing::field::display);
+        tracing::info!(event = "identity-taken", vm = self.settings.vm, service, address);
+        let known = self.backend.load_full();
+        let contradicted = known.is_some_and(|known| known.check(&identity).is_err());
+        self.identity.store(Arc::new(identity));
+        if contradicted {
+            self.clear_backend();
+        }
+    }
+
+    /// Lets the local backend server drain, although it has not announced that.
+    pub(crate) fn close_backend(&self, backend: BackendServer) {
+        self.schedule_closing();
+        self.backend.store(Some(Arc::new(BackendServer { draining: true, ..backend })));
+        self.publish_self();
+    }
+
     /// Whether a request may be sent to the local backend server. While the server refuses every
     /// request, only probes are sent.
     pub fn may_send_to_backend(&self) -> bool {
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -14,7 +14,7 @@
 use xitca_web::http::{StatusCode, WebResponse};
 use xitca_web::route::{get, post};
 
-use crate::announcement::BackendServer;
+use crate::announcement::{BackendServer, Rejection};
 use crate::envelope::{Load, RequestId};
 use crate::journal::Entry;
 use crate::member::Record;
@@ -95,12 +95,24 @@
             return text(StatusCode::BAD_REQUEST, problem);
         }
     };
-    if backend.slots == 0 || backend.service.is_empty() {
-        let problem = "slots must be 1 or more and service must not be empty\n";
-        return text(StatusCode::BAD_REQUEST, problem.to_owned());
+    match shared.board.announce(backend) {
+        Ok(()) => text(StatusCode::OK, "ok\n".to_owned()),
+        Err(rejection) => text(rejection_status(&rejection), format!("{rejection}\n")),
+    }
+}
+
+/// The status of the answer to an announcement that does not hold: 409 if it contradicts the settings or
+/// another run, and 400 if it can never be true.
+pub fn rejection_status(rejection: &Rejection) -> StatusCode {
+    match rejection {
+        Rejection::Service { .. } | Rejection::Address { .. } | Rejection::OtherRun => {
+            StatusCode::CONFLICT
+        }
+        Rejection::Incomplete
+        | Rejection::Slots { .. }
+        | Rejection::Id { .. }
+        | Rejection::Unreachable { .. } => StatusCode::BAD_REQUEST,
     }
-    shared.board.announce(backend);
-    text(StatusCode::OK, "ok\n".to_owned())
 }
 
 async fn metrics(StateRef(shared): StateRef<'_, Shared>) -> WebResponse {
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -1,10 +1,10 @@
 //! Reloads the settings file while a daemon runs.
 //!
 //! The file is read again on a hangup signal, and once a second to find changes that no signal
-//! announced. Only the store's address can change without a restart. A file that cannot be read or
+//! announced. Only the store's address and the identity of the local backend server can change without a
+//! restart. A file that cannot be read or
 //! parsed changes nothing. docs/OPERATIONS.md, "Settings", describes this for operators.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +21,6 @@
 /// Reads the settings with `read` and applies changes until the daemon stops.
 pub async fn follow(shared: Arc<Shared>, read: impl Fn() -> Result<Settings>, mut hangup: Signal) {
     let vm = &shared.board.settings.vm;
-    let mut identity = identity_of(&shared.board.settings);
     let mut current = shared.board.settings.platform.address;
     let mut last_error = String::new();
     loop {
@@ -32,13 +31,7 @@
         match read() {
             Ok(settings) => {
                 last_error.clear();
-                let found = identity_of(&settings);
-                if found != identity {
-                    let (service, address) = &found;
-                    let address = address.map(tracing::field::display);
-                    tracing::warn!(event = "settings-differ", vm, service, address);
-                    identity = found;
-                }
+                shared.board.set_identity(settings.identity());
                 let address = settings.platform.address;
                 if address != current {
                     tracing::info!(event = "settings-taken", vm, key = "platform.address", %address);
@@ -56,8 +49,3 @@
         }
     }
 }
-
-/// What the settings say of the local backend server: its service and its address.
-fn identity_of(settings: &Settings) -> (String, Option<SocketAddr>) {
-    (settings.service.clone(), settings.backend)
-}
--- /dev/null
+++ b/src/runs.rs
@@ -0,0 +1,174 @@
+//! Decides which announcements of the local backend server hold.
+//!
+//! Announcements arrive late, out of order, and from other writers. The newest holds, and those before it
+//! are outdated. A single message proves little, though: its sequence number or start may be wrong. A run
+//! whose announcements all look outdated replaces the newest one when they keep rising after any delayed
+//! message would have arrived, and nothing has continued the newest one. docs/DESIGN.md, "Announcements",
+//! has the reasons.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::announcement::BackendServer;
+use crate::time::Time;
+
+/// Time after which no announcement still arrives that was sent before another one that has arrived.
+pub const MAX_DELAY: Duration = Duration::from_secs(10);
+
+/// Number of rising announcements by which a run replaces the newest one.
+pub const MIN_RISING: u32 = 3;
+
+/// How far the start of a run may lie ahead of this VM's clock.
+pub const MAX_CLOCK_ERROR: Duration = Duration::from_secs(60);
+
+/// Number of runs of which it is remembered that they have withdrawn.
+const MAX_WITHDRAWN: usize = 64;
+
+/// What becomes of one announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is the newest and holds.
+    Newest,
+    /// It is delayed, and of the newest run. That this run drains holds nevertheless, since a run that
+    /// drains does not stop doing so.
+    Delayed,
+    /// Its run has withdrawn.
+    Withdrawn,
+    /// It is of an earlier run, or its start lies in the future.
+    OtherRun,
+}
+
+/// Which run has withdrawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// The newest.
+    Newest,
+    /// One that has not announced itself. Its announcements will be ignored.
+    Unannounced,
+    /// An earlier run of the newest one's id, or one whose start lies in the future. Whether the newest run
+    /// withdraws cannot be told.
+    OtherRun,
+}
+
+/// One run of a backend server, and how often it was heard.
+#[derive(Debug, Clone)]
+struct Run {
+    id: String,
+    started: u64,
+    /// The sequence number of the announcement that counts.
+    sequence: u64,
+    /// When that one arrived.
+    heard: Time,
+    /// Number of announcements up to that one, each with a higher number than the one before.
+    rising: u32,
+}
+
+impl Run {
+    fn of(backend: &BackendServer, now: Time) -> Self {
+        let BackendServer { id, started, sequence, .. } = backend;
+        Self { id: id.clone(), started: *started, sequence: *sequence, heard: now, rising: 1 }
+    }
+
+    fn announced(&self, backend: &BackendServer) -> bool {
+        (&self.id, self.started) == (&backend.id, backend.started)
+    }
+}
+
+/// The runs of the local backend server that have announced themselves.
+#[derive(Debug, Clone, Default)]
+pub struct Runs {
+    newest: Option<Run>,
+    /// A run whose announcements look outdated, and keep coming.
+    rival: Option<Run>,
+    /// When the rival was first heard.
+    rival_since: Time,
+    /// Id and start of the runs that have withdrawn, the latest last.
+    withdrawn: VecDeque<(String, u64)>,
+}
+
+impl Runs {
+    /// Decides about an announcement. `unix_ms` is the time of this VM's clock, in milliseconds since the
+    /// Unix epoch.
+    pub fn judge(&mut self, backend: &BackendServer, now: Time, unix_ms: u64) -> Verdict {
+        if self.has_withdrawn(&backend.id, backend.started) {
+            return Verdict::Withdrawn;
+        }
+        let is_future = is_future(backend.started, unix_ms);
+        let verdict = match &mut self.newest {
+            _ if is_future => Verdict::OtherRun,
+            None => Verdict::Newest,
+            Some(newest) if !newest.announced(backend) => match backend.started {
+                0 if newest.started == 0 => Verdict::Newest,
+                started if started > newest.started => Verdict::Newest,
+                _ => Verdict::OtherRun,
+            },
+            Some(newest) if backend.sequence < newest.sequence => Verdict::Delayed,
+            Some(newest) => {
+                if backend.sequence > newest.sequence || backend.sequence == 0 {
+                    (newest.sequence, newest.heard) = (backend.sequence, now);
+                    self.rival = None;
+                }
+                return Verdict::Newest;
+            }
+        };
+        if verdict == Verdict::Newest || self.is_proved(backend, now) {
+            self.newest = Some(Run::of(backend, now));
+            self.rival = None;
+            return Verdict::Newest;
+        }
+        verdict
+    }
+
+    /// Counts an announcement that looks outdated, and returns whether those of its run prove that the
+    /// newest one was wrong.
+    fn is_proved(&mut self, backend: &BackendServer, now: Time) -> bool {
+        match &mut self.rival {
+            Some(rival) if rival.announced(backend) => {
+                let rises = backend.sequence > rival.sequence;
+                rival.rising = if rises { rival.rising + 1 } else { 1 };
+                (rival.sequence, rival.heard) = (backend.sequence, now);
+            }
+            _ => {
+                self.rival = Some(Run::of(backend, now));
+                self.rival_since = now;
+            }
+        }
+        let Some(rival) = &self.rival else { return false };
+        let quiet_since = self.newest.as_ref().map_or(self.rival_since, |newest| newest.heard);
+        rival.rising >= MIN_RISING && rival.heard.since(quiet_since) >= MAX_DELAY
+    }
+
+    /// Records that a run has withdrawn. `started` is 0 if its start is not known.
+    pub fn withdraw(&mut self, id: &str, started: u64, unix_ms: u64) -> Withdrawal {
+        if is_future(started, unix_ms) {
+            return Withdrawal::OtherRun;
+        }
+        let newest = self.newest.as_ref().filter(|newest| newest.id == id);
+        let (last, withdrawal) = match newest {
+            Some(newest) if started == 0 => (newest.started, Withdrawal::Newest),
+            Some(newest) if started >= newest.started => (started, Withdrawal::Newest),
+            Some(_) => (started, Withdrawal::OtherRun),
+            // Whichever run of this id withdraws, it has started by now.
+            None if started == 0 => (unix_ms, Withdrawal::Unannounced),
+            None => (started, Withdrawal::Unannounced),
+        };
+        let known = self.withdrawn.iter().position(|(known, _)| known == id);
+        let known = known.and_then(|index| self.withdrawn.remove(index));
+        let last = known.map_or(last, |(_, known)| last.max(known));
+        self.withdrawn.push_back((id.to_owned(), last));
+        if self.withdrawn.len() > MAX_WITHDRAWN {
+            self.withdrawn.pop_front();
+        }
+        withdrawal
+    }
+
+    /// Whether this run has withdrawn, or a later one of the same id has.
+    fn has_withdrawn(&self, id: &str, started: u64) -> bool {
+        self.withdrawn.iter().any(|(known, last)| known == id && started <= *last)
+    }
+}
+
+fn is_future(started: u64, unix_ms: u64) -> bool {
+    let error = MAX_CLOCK_ERROR.as_millis() as u64;
+    started > unix_ms.saturating_add(error)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 
+use crate::announcement::Identity;
 use crate::error::{Error, Invalid, Result};
 
 /// Minimum length of a secret.
@@ -25,11 +26,12 @@
     pub vm: String,
     /// The failure domain of the VM.
     pub failure_domain: String,
-    /// The service of the local backend server, if known in advance; until the backend server announces
-    /// its service, requests that enter through this daemon are attributed to this one.
+    /// The service of the local backend server, if known in advance. Requests that enter through this
+    /// daemon are then attributed to it, and announcements of another service are rejected.
     #[serde(default)]
     pub service: String,
-    /// The address of the local backend server, if known in advance.
+    /// The address of the local backend server, if known in advance. Announcements of another address are
+    /// then rejected.
     #[serde(default)]
     pub backend: Option<SocketAddr>,
     /// The addresses on which the daemon listens.
@@ -174,6 +176,11 @@
         Self::parse(&text, path)
     }
 
+    /// Returns what the settings say of the local backend server.
+    pub fn identity(&self) -> Identity {
+        Identity { service: self.service.clone(), address: self.backend }
+    }
+
     /// Checks the constraints that deserialization does not enforce.
     ///
     /// # Errors
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -175,7 +175,7 @@
             let history = Arc::clone(history);
             let server = Server { depth, egress, caller: Caller::new(), history };
             tokio::spawn(Arc::new(server).serve(listener));
-            daemon.board().announce(BackendServer {
+            let backend = BackendServer {
                 id: String::new(),
                 started: 0,
                 sequence: 0,
@@ -184,7 +184,8 @@
                 address,
                 slots: SLOTS,
                 draining: false,
-            });
+            };
+            daemon.board().announce(backend).unwrap();
             daemons.push(daemon);
         }
     }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -140,7 +140,7 @@
             slots: 4,
             draining: false,
         };
-        board.announce(backend);
+        board.announce(backend).unwrap();
         until("the other one is announced", || {
             board.backend.load().as_ref().is_some_and(|backend| backend.address == address)
         })
