Pass a request's target on byte for byte, or refuse it

Cause: the target went through `http::Uri`, which drops a fragment without a word, writes the scheme of an absolute target in lower case, and whose path alone is sent to another VM, while the whole absolute target was sent to a local backend server. An absolute target also named a host that the routing did not look at.

Change: the path and query have to be the same after parsing as before; an absolute target is taken if its host is that of the Host header, and its path and query are passed on.

Remains: calls at the egress address of the product's own interface are read by hyper, which does not tell of a fragment.

--- a/src/head.rs
+++ b/src/head.rs
@@ -54,7 +54,7 @@
             Err(error) => return Err(malformed(error)),
         };
         let method = request.method.unwrap_or_default().parse().map_err(malformed)?;
-        let uri = request.path.unwrap_or_default().parse().map_err(malformed)?;
+        let target = Bytes::copy_from_slice(request.path.unwrap_or_default().as_bytes());
         let version = request.version;
         let range = |part: &[u8]| (part.as_ptr() as usize - start, part.len());
         let mut ranges = Vec::with_capacity(request.headers.len());
@@ -68,6 +68,7 @@
         if headers.get_all(HOST).iter().count() != 1 && version == Some(1) {
             return Err(Malformed("exactly one host header is needed".to_owned()));
         }
+        let uri = parse_target(&target, &headers)?;
         let closes = has_token(&headers, &CONNECTION, "close")
             || (version == Some(0) && !has_token(&headers, &CONNECTION, "keep-alive"));
         let expects_continue = has_token(&headers, &EXPECT, "100-continue");
@@ -75,6 +76,24 @@
     }
 }
 
+/// Parses the target of a request into its path and query, which are passed on byte for byte.
+///
+/// An absolute target names a host as well, which has to be that of the `Host` header: requests are routed
+/// by the latter. A target that would change on its way, such as one with a fragment, is rejected.
+fn parse_target(target: &Bytes, headers: &HeaderMap) -> Result<Uri, Malformed> {
+    let host = headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+    let after_scheme = target.strip_prefix(b"http://").unwrap_or_default();
+    let path = match after_scheme.split_at_checked(host.len()) {
+        Some((authority, path)) if !host.is_empty() && authority.eq_ignore_ascii_case(host) => path,
+        _ => target,
+    };
+    let uri = Uri::from_maybe_shared(target.slice_ref(path)).map_err(malformed)?;
+    match uri.path_and_query() {
+        Some(kept) if path.starts_with(b"/") && kept.as_str().as_bytes() == path => Ok(uri),
+        _ => Err(Malformed("the target is not a path and query on the request's host".to_owned())),
+    }
+}
+
 fn header_map(
     head: &Bytes,
     ranges: Vec<(HeaderName, (usize, usize))>,
