Refuse heads and chunks that others may read differently

Callers saw: nothing that is known. A request could be smuggled inside another one (UNASKED) past whoever reads line ends or chunk sizes more strictly than the daemon did.

Cause: lines that end with LF alone were taken, in heads; spaces after a chunk size and line feeds in a chunk extension too; HTTP/1.0 with a transfer coding; trailers without a name; two Host headers in HTTP/1.0. A caller that listed Host in Connection took the header away. Class: input that has more than one reading is given one.

Passed before as well, so ruled out: two lengths, a length beside a transfer coding, `chunked` twice or spelled otherwise, space before the colon, folded lines, signs and spaces in lengths, chunk sizes that overflow, trailers that name the key or the id, and requests that arrive byte by byte, alone and pipelined, beside the entry and through a second VM.

--- a/src/chunked.rs
+++ b/src/chunked.rs
@@ -60,6 +60,9 @@
             match self.state {
                 State::Size => match httparse::parse_chunk_size(input) {
                     Ok(httparse::Status::Complete((used, size))) => {
+                        if !is_size_line(&input[..used]) {
+                            return Err(ChunkError::Malformed);
+                        }
                         input.advance(used);
                         let size = usize::try_from(size).map_err(|_| ChunkError::TooLarge)?;
                         if size > limit.saturating_sub(self.body.len()) {
@@ -96,6 +99,9 @@
                         return Err(ChunkError::Malformed);
                     }
                     let Some(end) = end else { return Ok(None) };
+                    if end > 0 && !is_trailer(&input[..end]) {
+                        return Err(ChunkError::Malformed);
+                    }
                     input.advance(length);
                     self.trailers += length;
                     if end == 0 {
@@ -106,3 +112,25 @@
         }
     }
 }
+
+/// Whether a chunk's size line consists of its size, with or without an extension, and nothing that others
+/// may read differently: no spaces around the size, and no line end within the extension.
+fn is_size_line(line: &[u8]) -> bool {
+    let Some(line) = line.strip_suffix(b"\r\n") else { return false };
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    let extension = &line[digits..];
+    digits > 0
+        && extension.first().is_none_or(|byte| *byte == b';')
+        && !extension.iter().any(is_control)
+}
+
+/// Whether a trailer line has a name, and no control characters.
+fn is_trailer(line: &[u8]) -> bool {
+    let name = line.iter().position(|byte| *byte == b':').map(|end| &line[..end]);
+    let is_name = |name: &[u8]| http::HeaderName::from_bytes(name).is_ok();
+    name.is_some_and(is_name) && !line.iter().any(is_control)
+}
+
+fn is_control(byte: &u8) -> bool {
+    byte.is_ascii_control() && *byte != b'\t'
+}
--- a/src/head.rs
+++ b/src/head.rs
@@ -63,9 +63,16 @@
             ranges.push((name, range(line.value)));
         }
         let head = input.split_to(length).freeze();
+        if has_bare_line_feed(&head) {
+            return Err(Malformed("every line has to end with CR and LF".to_owned()));
+        }
         let headers = header_map(&head, ranges)?;
         let framing = framing_of(&headers)?;
-        if headers.get_all(HOST).iter().count() != 1 && version == Some(1) {
+        if framing == Framing::Chunks && version != Some(1) {
+            return Err(Malformed("HTTP/1.0 has no transfer codings".to_owned()));
+        }
+        let hosts = headers.get_all(HOST).iter().count();
+        if hosts > 1 || (hosts == 0 && version == Some(1)) {
             return Err(Malformed("exactly one host header is needed".to_owned()));
         }
         let uri = parse_target(&target, &headers)?;
@@ -76,6 +83,16 @@
     }
 }
 
+/// Whether a line ends with LF alone. Others may not take that for its end, and see one request where two
+/// are read here.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    let mut previous = 0;
+    head.iter().any(|byte| {
+        let before = std::mem::replace(&mut previous, *byte);
+        *byte == b'\n' && before != b'\r'
+    })
+}
+
 /// Parses the target of a request into its path and query, which are passed on byte for byte.
 ///
 /// An absolute target names a host as well, which has to be that of the `Host` header: requests are routed
--- a/src/message.rs
+++ b/src/message.rs
@@ -157,7 +157,7 @@
 }
 
 /// Removes the headers that must not be forwarded: those that the `Connection` header lists, and those
-/// in `private` (see [`Dialect::stripped_headers`]).
+/// in `private` (see [`Dialect::stripped_headers`]). The `Host` header, which concerns no connection, stays.
 pub fn strip_headers(headers: &mut HeaderMap, private: &[HeaderName]) {
     let connection: Vec<HeaderName> = headers
         .get_all(http::header::CONNECTION)
@@ -165,6 +165,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != HOST)
         .collect();
     for name in connection.iter().chain(private) {
         headers.remove(name);
