Refuse a request without exactly one valid id where callers choose ids

Nothing shows that the users' clients send such requests.

Cause: `read_request_id` made an id up whenever it could not take the caller's. Class: a default in place of a missing identity.

Evidence: a_request_without_one_valid_id_does_not_run, raw sockets, beside the entry and through a second VM. The answer is 400, which is not sent again; such a request is not proper, so this denies nobody. Answers to requests whose id is not known name none, where callers choose ids: a made-up one would belong to another request.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -13,6 +13,7 @@
 
 use crate::envelope::RequestId;
 use crate::message;
+use crate::reason::Reason;
 
 /// The names and conventions of the headers. An optional header that is `None` is not used in the
 /// dialect.
@@ -78,13 +79,27 @@
         }
     }
 
-    /// Returns the request id that the caller chose, if the dialect allows that and the id is valid, or
-    /// a new one.
-    pub fn read_request_id(&self, headers: &HeaderMap) -> RequestId {
-        let from_caller = headers.get(&self.request_id).filter(|_| self.caller_chosen_ids);
-        from_caller
-            .and_then(RequestId::from_header)
-            .unwrap_or_else(|| RequestId::random(&mut rand::rng()))
+    /// Returns the id of a request: the one that its caller chose, or a new one if the dialect leaves that to
+    /// the entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Reason::BadRequest`] if the caller has to choose an id, and sent none, several, or one that is
+    /// empty, too long or not printable. An id that the entry made up would stand for no request of a caller.
+    pub fn read_request_id(&self, headers: &HeaderMap) -> Result<RequestId, Reason> {
+        if !self.caller_chosen_ids {
+            return Ok(RequestId::random(&mut rand::rng()));
+        }
+        let mut values = headers.get_all(&self.request_id).iter();
+        let id = values.next().and_then(RequestId::from_header);
+        id.filter(|_| values.next().is_none()).ok_or_else(|| Reason::BadRequest {
+            problem: format!("exactly one valid {} header is needed", self.request_id),
+        })
+    }
+
+    /// Returns the id for the refusal of a request whose own id is not known.
+    pub fn refusal_id(&self) -> RequestId {
+        if self.caller_chosen_ids { RequestId::NONE } else { RequestId::random(&mut rand::rng()) }
     }
 
     /// Returns the value of `retry-after` for `span`: whole seconds, rounded up and at least 1, unless
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -7,7 +7,7 @@
 
 use crate::claims;
 use crate::document::{Policy, Route};
-use crate::envelope::{Envelope, RequestId, Token};
+use crate::envelope::{Envelope, Token};
 use crate::forward::{self, Call};
 use crate::live::LiveRequest;
 use crate::message::{self, Answer, Message, Response};
@@ -34,7 +34,7 @@
     let body = match message::collect_body(body, limit).await {
         Ok(body) => body,
         Err(problem) => {
-            let request = RequestId::random(&mut rand::rng());
+            let request = dialect.refusal_id();
             return Answer::not_run(request, Reason::BadRequest { problem }).into_response(dialect);
         }
     };
@@ -43,13 +43,14 @@
         Some(live) => handle_with_token(&shared, &policy, route, &live, message).await,
         // A call on an open route needs no token; it enters like a request of a caller.
         None if route.is_some_and(|route| route.open) => {
-            let id = dialect.read_request_id(&message.headers);
-            crate::entry::handle(Arc::clone(&shared), id, message, Duration::ZERO).await
-        }
-        None => {
-            let request = RequestId::random(&mut rand::rng());
-            Answer::not_run(request, Reason::UnknownToken)
+            match dialect.read_request_id(&message.headers) {
+                Ok(id) => {
+                    crate::entry::handle(Arc::clone(&shared), id, message, Duration::ZERO).await
+                }
+                Err(reason) => Answer::not_run(dialect.refusal_id(), reason),
+            }
         }
+        None => Answer::not_run(dialect.refusal_id(), Reason::UnknownToken),
     };
     answer.into_response(dialect)
 }
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -23,6 +23,9 @@
 pub struct RequestId(Bytes);
 
 impl RequestId {
+    /// Stands for the id of a request that has none, or whose id is not known. Answers do not name it.
+    pub const NONE: Self = Self(Bytes::new());
+
     /// Generates a random request id of 32 hexadecimal digits.
     pub fn random(rng: &mut impl Rng) -> Self {
         Self(format!("{:032x}", rng.random::<u128>()).into())
--- a/src/message.rs
+++ b/src/message.rs
@@ -120,7 +120,9 @@
     /// downstream call.
     pub fn into_response(self, dialect: &Dialect) -> Response {
         let mut headers = self.headers;
-        headers.insert(dialect.request_id.clone(), self.report.request.to_header());
+        if self.report.request != RequestId::NONE {
+            headers.insert(dialect.request_id.clone(), self.report.request.to_header());
+        }
         if dialect.sends_outcome {
             headers.insert(OUTCOME, HeaderValue::from_static(self.report.outcome.as_str()));
         }
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -410,7 +410,10 @@
     fn start(&mut self, request: CompleteRequest) {
         let CompleteRequest { message, received, reservations } = request;
         let bodiless = message.method == Method::HEAD;
-        let id = self.dialect.read_request_id(&message.headers);
+        let id = match self.dialect.read_request_id(&message.headers) {
+            Ok(id) => id,
+            Err(reason) => return self.refuse_request(reason, bodiless),
+        };
         let (clock, waited) = (self.clock, self.clock.now().since(received));
         let handling = (self.hooks.handler)(id.clone(), message, waited);
         let task = tokio::spawn(async move {
@@ -449,12 +452,17 @@
     /// Refuses a request that cannot be read. The start of the next one cannot be found after it, so
     /// the connection closes.
     fn refuse(&mut self, reason: Reason) {
-        let id = RequestId::random(&mut rand::rng());
-        let task = completed_task(Answer::not_run(id.clone(), reason), self.clock);
-        self.queue.push_back(Pending { id, task, bodiless: false });
+        self.refuse_request(reason, false);
         self.read_closed = true;
     }
 
+    /// Refuses a request whose id is not known.
+    fn refuse_request(&mut self, reason: Reason, bodiless: bool) {
+        let id = self.dialect.refusal_id();
+        let task = completed_task(Answer::not_run(id.clone(), reason), self.clock);
+        self.queue.push_back(Pending { id, task, bodiless });
+    }
+
     /// Gives up on the requests that did not end within the stop time-out. Every request that was read
     /// gets a final answer, including those whose complete answers wait for an earlier request.
     fn abandon_requests(&mut self) {
--- a/src/server.rs
+++ b/src/server.rs
@@ -18,7 +18,6 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::dialect::Dialect;
-use crate::envelope::RequestId;
 use crate::message::{Answer, Response};
 use crate::reason::Reason;
 
@@ -148,8 +147,7 @@
 }
 
 fn refusal(reason: Reason, dialect: &Dialect) -> Response {
-    let request = RequestId::random(&mut rand::rng());
-    Answer::not_run(request, reason).into_response(dialect)
+    Answer::not_run(dialect.refusal_id(), reason).into_response(dialect)
 }
 
 fn builder(bounds: Bounds) -> hyper::server::conn::http1::Builder {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod raw;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
