Keep using a run whose start lies in the future once it is proved

Found in a read-through of `Runs`, before any landing had it: beside a daemon whose clock is far behind, the run of the backend server was taken after 10 s, and its next announcement was refused again, since the check of the start came before that for the newest run.

--- a/src/runs.rs
+++ b/src/runs.rs
@@ -93,23 +93,24 @@
         if self.has_withdrawn(&backend.id, backend.started) {
             return Verdict::Withdrawn;
         }
-        let is_future = is_future(backend.started, unix_ms);
         let verdict = match &mut self.newest {
-            _ if is_future => Verdict::OtherRun,
-            None => Verdict::Newest,
-            Some(newest) if !newest.announced(backend) => match backend.started {
-                0 if newest.started == 0 => Verdict::Newest,
-                started if started > newest.started => Verdict::Newest,
-                _ => Verdict::OtherRun,
-            },
-            Some(newest) if backend.sequence < newest.sequence => Verdict::Delayed,
-            Some(newest) => {
-                if backend.sequence > newest.sequence || backend.sequence == 0 {
-                    (newest.sequence, newest.heard) = (backend.sequence, now);
-                    self.rival = None;
+            Some(newest) if newest.announced(backend) => {
+                if backend.sequence < newest.sequence {
+                    Verdict::Delayed
+                } else {
+                    if backend.sequence > newest.sequence || backend.sequence == 0 {
+                        (newest.sequence, newest.heard) = (backend.sequence, now);
+                        self.rival = None;
+                    }
+                    return Verdict::Newest;
                 }
-                return Verdict::Newest;
             }
+            _ if is_future(backend.started, unix_ms) => Verdict::OtherRun,
+            None => Verdict::Newest,
+            Some(newest) if backend.started > newest.started => Verdict::Newest,
+            // Runs that announce no start cannot be ordered.
+            Some(newest) if backend.started == 0 && newest.started == 0 => Verdict::Newest,
+            Some(_) => Verdict::OtherRun,
         };
         if verdict == Verdict::Newest || self.is_proved(backend, now) {
             self.newest = Some(Run::of(backend, now));
@@ -140,10 +141,11 @@
 
     /// Records that a run has withdrawn. `started` is 0 if its start is not known.
     pub fn withdraw(&mut self, id: &str, started: u64, unix_ms: u64) -> Withdrawal {
-        if is_future(started, unix_ms) {
+        let newest = self.newest.as_ref().filter(|newest| newest.id == id);
+        let is_known = newest.is_some_and(|newest| newest.started == started);
+        if is_future(started, unix_ms) && !is_known {
             return Withdrawal::OtherRun;
         }
-        let newest = self.newest.as_ref().filter(|newest| newest.id == id);
         let (last, withdrawal) = match newest {
             Some(newest) if started == 0 => (newest.started, Withdrawal::Newest),
             Some(newest) if started >= newest.started => (started, Withdrawal::Newest),
--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use gypsumtack::announcement::BackendServer;
-use gypsumtack::runs::{MAX_DELAY, Runs, Verdict};
+use gypsumtack::runs::{MAX_DELAY, Runs, Verdict, Withdrawal};
 use gypsumtack::time::Time;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -242,3 +242,20 @@
     assert_eq!(judge(&mut runs, 9, 3), Verdict::Newest);
     assert_eq!(judge(&mut runs, 7, 60), Verdict::Delayed);
 }
+
+/// Guards against an instance that is never used beside a daemon whose clock is far behind.
+#[test]
+fn a_run_from_the_future_is_used_once_it_is_proved() {
+    let mut runs = Runs::default();
+    let started = EPOCH_MS + 3_600_000;
+    let verdicts: Vec<Verdict> = (0..20)
+        .map(|beat| {
+            let now = Time::from_millis(beat * INTERVAL_MS);
+            runs.judge(&backend("i-1", started, beat + 1, false), now, EPOCH_MS)
+        })
+        .collect();
+    let proved = verdicts.iter().position(|verdict| *verdict == Verdict::Newest);
+    assert!(proved.is_some_and(|proved| proved <= 8), "{verdicts:?}");
+    assert!(verdicts[proved.unwrap()..].iter().all(|verdict| *verdict == Verdict::Newest));
+    assert_eq!(runs.withdraw("i-1", started, EPOCH_MS), Withdrawal::Newest);
+}
