--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod roster;
 pub mod router;
 pub mod rows;
+pub mod runs;
 pub mod server;
 pub mod settings;
 pub mod share;
--- a/src/message.rs
+++ b/src/message.rs
@@ -120,7 +120,9 @@
     /// downstream call.
     pub fn into_response(self, dialect: &Dialect) -> Response {
         let mut headers = self.headers;
-        headers.insert(dialect.request_id.clone(), self.report.request.to_header());
+        if self.report.request != RequestId::NONE {
+            headers.insert(dialect.request_id.clone(), self.report.request.to_header());
+        }
         if dialect.sends_outcome {
             headers.insert(OUTCOME, HeaderValue::from_static(self.report.outcome.as_str()));
         }
@@ -157,7 +159,7 @@
 }
 
 /// Removes the headers that must not be forwarded: those that the `Connection` header lists, and those
-/// in `private` (see [`Dialect::stripped_headers`]).
+/// in `private` (see [`Dialect::stripped_headers`]). The `Host` header, which concerns no connection, stays.
 pub fn strip_headers(headers: &mut HeaderMap, private: &[HeaderName]) {
     let connection: Vec<HeaderName> = headers
         .get_all(http::header::CONNECTION)
@@ -165,6 +167,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != HOST)
         .collect();
     for name in connection.iter().chain(private) {
         headers.remove(name);
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -1,7 +1,8 @@
 //! Reloads the settings file while a daemon runs.
 //!
 //! The file is read again on a hangup signal, and once a second to find changes that no signal
-//! announced. Only the store's address can change without a restart. A file that cannot be read or
+//! announced. Only the store's address and the identity of the local backend server can change without a
+//! restart. A file that cannot be read or
 //! parsed changes nothing. docs/OPERATIONS.md, "Settings", describes this for operators.
 
 use std::sync::Arc;
@@ -30,6 +31,7 @@
         match read() {
             Ok(settings) => {
                 last_error.clear();
+                shared.board.set_identity(settings.identity());
                 let address = settings.platform.address;
                 if address != current {
                     tracing::info!(event = "settings-taken", vm, key = "platform.address", %address);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod raw;
 pub mod recorder;
 pub mod scripted;
 
@@ -143,7 +144,7 @@
             slots: 4,
             draining: false,
         };
-        board.announce(backend);
+        board.announce(backend).unwrap();
         until("the other one is announced", || {
             board.backend.load().as_ref().is_some_and(|backend| backend.address == address)
         })
--- a/tests/unmatched.rs
+++ b/tests/unmatched.rs
@@ -105,7 +105,7 @@
     .await;
     let board = fleet.nodes[0].daemon.board();
     let backend = BackendServer::clone(&board.backend.load_full().unwrap());
-    board.announce(BackendServer { id: "i-1".into(), started: 1, ..backend });
+    board.announce(BackendServer { id: "i-1".into(), started: 1, ..backend }).unwrap();
     for index in 0..32 {
         let answer = sign(&fleet, &format!("request-{index}")).await;
         assert_eq!((answer.outcome(), answer.reason()), ("unknown", "bad-answer"));
