--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -119,7 +119,7 @@
         let arrived = fleet.strange(0, vec![answer]).await;
         let board = fleet.nodes[0].daemon.board();
         let announced = (*board.backend.load_full().unwrap()).clone();
-        board.announce(BackendServer { id: "one".to_owned(), ..announced });
+        board.announce(BackendServer { id: "one".to_owned(), ..announced }).unwrap();
         until("it is announced with its id", || {
             board.backend.load().as_ref().is_some_and(|backend| backend.id == "one")
         })
