Make two tests of deadlines fail whenever their faults are there

a_repeat_ends_when_the_first_attempt_did passed on, which has the fault: it filled the slots of the second instance over seconds, so that the repeat did not wait. It takes the slots itself now, once the first attempt runs, and fails if the repeat did not wait.

Both are stricter than before.

--- a/tests/deadlines.rs
+++ b/tests/deadlines.rs
@@ -2,10 +2,15 @@
 
 mod fleet;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fleet::recorder::{Arrival, Ending, Recorder};
-use fleet::{Fleet, document, plan, until};
+use fleet::{Fleet, Node, document, plan, until};
+use gypsumtack::document::Importance;
+use gypsumtack::gate::Permit;
+use gypsumtack::guard::SlotRequest;
 use gypsumtack::message::{DEADLINE, IDEMPOTENCY_KEY};
 use gypsumtack::time::Time;
 use gypsumtack_standin::backend::OPERATION;
@@ -102,32 +107,53 @@
     }
 }
 
-/// The first instance fails late, and the repeat waits for a slot of the second one.
+/// Takes all slots of a node's instance.
+async fn take_slots(node: &Node) -> Vec<Permit> {
+    let board = node.daemon.board();
+    let request = SlotRequest {
+        customer: board.policy.load().customer_id("acme").unwrap(),
+        weight: 1,
+        importance: Importance::Critical,
+        objective: Duration::from_secs(1),
+        downstream: false,
+        deadline: Time::MAX,
+    };
+    let slots = (0..SLOTS).map(|_| board.gate.acquire(request, "deep"));
+    futures::future::try_join_all(slots).await.unwrap()
+}
+
+/// The first instance fails late, and the repeat waits for a slot of the other one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeat_ends_when_the_first_attempt_did() {
-    let script = |index: usize, arrival: &Arrival| match (index, arrival.operation.as_str()) {
-        (0, "late") => (HOLD_TIME, Ending::Status(500)),
-        (1, "hold") => (HOLD_TIME * 2, Ending::Status(200)),
-        _ => (Duration::ZERO, Ending::Status(200)),
+    let failed = Arc::new(AtomicBool::new(false));
+    let script = move |_: usize, arrival: &Arrival| match arrival.operation == "late"
+        && !failed.swap(true, Ordering::Relaxed)
+    {
+        true => (HOLD_TIME, Ending::Status(500)),
+        false => (Duration::ZERO, Ending::Status(200)),
     };
     let (fleet, servers) = start_fleet(2, script).await;
     let calm = futures::future::join_all((0..40).map(|_| ask(&fleet, 0, "/deep", "calm"))).await;
     assert!(calm.iter().all(|answer| answer.outcome() == "ran"));
-    let held = || servers[1].arrivals().iter().filter(|one| one.operation == "hold").count();
-    while held() < SLOTS {
-        let (caller, address) = (fleet.caller.clone(), fleet.nodes[0].callers());
-        tokio::spawn(async move { caller.send(address, request("/deep", "hold")).await });
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
     let sent = fleet.seen.clock.now();
-    let answer = ask(&fleet, 0, "/deep", "late").await;
+    let fill_other = async {
+        let arrived = |server: &Recorder| server.arrival("late").is_some();
+        until("the first attempt runs", || servers.iter().any(arrived)).await;
+        let other = if arrived(&servers[0]) { 2 } else { 1 };
+        let permits = take_slots(&fleet.nodes[other]).await;
+        tokio::time::sleep(2 * HOLD_TIME).await;
+        drop(permits);
+    };
+    let (answer, ()) = tokio::join!(ask(&fleet, 0, "/deep", "late"), fill_other);
     assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "ran"));
     let bound = sent + Duration::from_millis(CALLER_TIMEOUT_MS);
-    let arrivals: Vec<_> = servers.iter().filter_map(|server| server.arrival("late")).collect();
+    let mut arrivals: Vec<_> = servers.iter().filter_map(|server| server.arrival("late")).collect();
+    arrivals.sort_by_key(|arrival| arrival.at);
+    assert_eq!(arrivals.len(), 2, "the request was not repeated");
+    assert!(arrivals[1].at.since(sent) > HOLD_TIME + MAX_EXCESS, "the repeat did not wait");
     for arrival in &arrivals {
         assert_ends(arrival, bound, "an attempt");
     }
-    assert_eq!(arrivals.len(), 2, "the request was not repeated");
 }
 
 /// Values of the deadline header, each with how long its caller waits.
@@ -166,9 +192,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_time_left_reaches_no_backend_server() {
     let (fleet, servers) = start_fleet(1, script).await;
-    for path in ["/deep", "/sign"] {
-        let answer = fleet.ask(0, request(path, "over").header(DEADLINE, "0")).await;
-        assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+    // A link to the instance is open then, so that a request could be written to it.
+    assert_eq!(fleet.ask(0, request("/deep", "before")).await.outcome(), "ran");
+    for index in 0..20 {
+        for path in ["/deep", "/sign"] {
+            let request = request(path, &format!("over-{index}")).header(DEADLINE, "0");
+            let answer = fleet.ask(0, request).await;
+            assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+        }
     }
-    assert_eq!(servers[0].arrivals().len(), 0);
+    assert_eq!(servers[0].arrivals().len(), 1);
 }
