Bound the memory of long bodies at the daemon beside a backend server

Change: whoever sends a body longer than 64 KiB to another daemon reserves memory there together with the slot, and keeps the body until both are granted. Waiting for memory counts against the deadline and the longest queue wait.

Evidence: long_bodies_over_the_memory_bound_wait_at_their_sender has eight uploads of 360 kB at once for a daemon with room for two.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -7,6 +7,7 @@
 
 use crate::announcement::BackendServer;
 use crate::board::Board;
+use crate::body::{Reservation, UNRESERVED_BYTES};
 use crate::connection::{AnswerHead, RequestError, WholeAnswer};
 use crate::document::{CustomerId, Policy};
 use crate::echo::Echo;
@@ -44,6 +45,8 @@
     _suspect_permit: Option<SuspectPermit>,
     queue_wait: Duration,
     deadline: Time,
+    /// Memory for the body, if it is long and comes from another daemon.
+    _memory: Reservation,
 }
 
 impl Admission {
@@ -55,7 +58,8 @@
 
 /// Runs a request on the local backend server. Makes a single attempt.
 pub async fn run(shared: &Arc<Shared>, envelope: Envelope, message: Message) -> Answer {
-    match admit(shared, &envelope).await {
+    let deadline = deadline_of(&shared.board, &envelope);
+    match admit(shared, &envelope, deadline).await {
         Ok(admission) => run_admitted(shared, envelope, message, admission).await,
         Err(refusal) => *refusal,
     }
@@ -66,7 +70,11 @@
 /// # Errors
 ///
 /// Returns the refusal; no byte of the request has reached the backend server.
-pub async fn admit(shared: &Shared, envelope: &Envelope) -> Result<Admission, Box<Answer>> {
+async fn admit(
+    shared: &Shared,
+    envelope: &Envelope,
+    deadline: Time,
+) -> Result<Admission, Box<Answer>> {
     let board = &shared.board;
     let refuse = |reason| Box::new(refuse(shared, envelope, reason));
     let backend = usable_backend(shared, envelope).ok_or_else(|| refuse(Reason::NotReady))?;
@@ -79,13 +87,45 @@
         false => None,
     };
     let queued = board.clock.now();
-    // The envelope tells the time left when it arrived, so the wait for a slot counts against it.
-    let deadline = deadline_of(board, envelope);
     let slot_request = slot_request(shared, envelope, deadline);
     let permit = board.gate.acquire(slot_request, &envelope.route).await.map_err(refuse)?;
     let queue_wait = board.clock.now().since(queued);
     board.record_queue_wait(envelope.importance, queue_wait);
-    Ok(Admission { backend, permit, _suspect_permit: suspect_permit, queue_wait, deadline })
+    let _memory = None;
+    Ok(Admission {
+        backend,
+        permit,
+        _suspect_permit: suspect_permit,
+        queue_wait,
+        deadline,
+        _memory,
+    })
+}
+
+/// Waits for memory for a body of `body_bytes` that another daemon is about to send, and for a slot.
+///
+/// # Errors
+///
+/// Returns the refusal; no byte of the request has reached the backend server.
+pub async fn admit_with_body(
+    shared: &Shared,
+    envelope: &Envelope,
+    body_bytes: usize,
+) -> Result<Admission, Box<Answer>> {
+    // The envelope tells the time left when it arrived, so each wait counts against it.
+    let deadline = deadline_of(&shared.board, envelope);
+    if body_bytes <= UNRESERVED_BYTES {
+        return admit(shared, envelope, deadline).await;
+    }
+    let longest_wait = Duration::from_millis(shared.board.policy.load().limits.queue_ms);
+    let left = deadline.since(shared.board.clock.now());
+    let wait = left.min(longest_wait);
+    let Ok(memory) = tokio::time::timeout(wait, shared.bodies.reserve(body_bytes)).await else {
+        let (wait_ms, time_left_ms) = (wait.as_millis() as u64, left.as_millis() as u64);
+        let reason = Reason::QueueDelay { wait_ms, time_left_ms };
+        return Err(Box::new(refuse(shared, envelope, reason)));
+    };
+    Ok(Admission { _memory: memory, ..admit(shared, envelope, deadline).await? })
 }
 
 /// Runs a request that holds a slot.
@@ -97,7 +137,8 @@
 ) -> Answer {
     let board = &shared.board;
     let request = envelope.request.clone();
-    let Admission { backend, mut permit, _suspect_permit, queue_wait, deadline } = admission;
+    let Admission { backend, mut permit, _suspect_permit, queue_wait, deadline, _memory } =
+        admission;
     // The envelope of a reserved request is newer than its admission.
     let deadline = deadline.min(deadline_of(board, &envelope));
     let started = permit.restart();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 
 use crate::board::Board;
+use crate::body::BodyMemory;
 use crate::connection::Connections;
 use crate::dialect::Dialect;
 use crate::error::{Error, Result};
@@ -148,6 +149,7 @@
                 .with_unreadable_counter(board.metrics.unreadable_rows.clone()),
             peers: PeerConnections::default(),
             reservations: Reservations::default(),
+            bodies: BodyMemory::new(board.settings.limits.body_memory),
             server: Connections::new(clock),
             claims: sender,
             board,
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 
 use crate::backend;
 use crate::board::Board;
+use crate::body::UNRESERVED_BYTES;
 use crate::document::ServiceId;
 use crate::envelope::{Envelope, Report};
 use crate::instance::Instance;
@@ -352,8 +353,8 @@
     state.is_none_or(|state| state.should_request_reached(&instance.vm, shared.board.clock.now()))
 }
 
-/// Sends the request to the daemon of the instance. For a request that must not run twice, a slot is
-/// reserved first: if it were lost on the way, it could not be tried again.
+/// Sends the request to the daemon of the instance. A slot is reserved first for a request that must not
+/// run twice, which could not be tried again if it were lost on the way, and for one with a long body.
 async fn send_remote(
     shared: &Arc<Shared>,
     envelope: Envelope,
@@ -361,7 +362,8 @@
     instance: &Arc<Instance>,
     time_left: Duration,
 ) -> Answer {
-    let reserves = !call.idempotent;
+    let body_bytes = call.message.body.len();
+    let reserves = !call.idempotent || body_bytes > UNRESERVED_BYTES;
     let is_sent = AtomicBool::new(!reserves);
     let run = async {
         let (peers, address) = (&shared.peers, instance.peers);
@@ -369,7 +371,7 @@
         if !reserves {
             return peers.run(shared, address, envelope.clone(), message).await;
         }
-        match peers.reserve(shared, address, envelope.clone()).await? {
+        match peers.reserve(shared, address, envelope.clone(), body_bytes).await? {
             SlotGrant::Refused(refusal) => Ok(*refusal),
             SlotGrant::Held(slot) => {
                 is_sent.store(true, Ordering::Relaxed);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -68,7 +68,7 @@
 #[tarpc::service]
 trait Peer {
     async fn run(envelope: Envelope, message: Message) -> Answer;
-    async fn reserve(envelope: Envelope) -> SlotGrant;
+    async fn reserve(envelope: Envelope, body_bytes: usize) -> SlotGrant;
     async fn run_reserved(slot: SlotId, envelope: Envelope, message: Message) -> Answer;
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
     async fn borrow(request: LoanRequest) -> LoanResponse;
@@ -202,7 +202,8 @@
         self.call(shared, address, &connection, answer).await
     }
 
-    /// Waits for a slot of the backend server of the daemon at `address`.
+    /// Waits for a slot of the backend server of the daemon at `address`, and for memory there for a body
+    /// of `body_bytes`.
     ///
     /// Dropping the future gives the slot back.
     ///
@@ -214,10 +215,12 @@
         shared: &Shared,
         address: SocketAddr,
         envelope: Envelope,
+        body_bytes: usize,
     ) -> Result<SlotGrant, CallError> {
         let time_left = Duration::from_micros(envelope.time_left_us);
         let connection = self.connection(shared, address).await?;
-        let grant = connection.client.reserve(context_with_timeout(time_left), envelope);
+        let grant =
+            connection.client.reserve(context_with_timeout(time_left), envelope, body_bytes);
         self.call(shared, address, &connection, grant).await
     }
 
@@ -491,8 +494,13 @@
         backend::run(&self.shared, envelope, message).await
     }
 
-    async fn reserve(self, _: context::Context, envelope: Envelope) -> SlotGrant {
-        match backend::admit(&self.shared, &envelope).await {
+    async fn reserve(
+        self,
+        _: context::Context,
+        envelope: Envelope,
+        body_bytes: usize,
+    ) -> SlotGrant {
+        match backend::admit_with_body(&self.shared, &envelope, body_bytes).await {
             Ok(admission) => SlotGrant::Held(reservation::hold(&self.shared, admission)),
             Err(refusal) => SlotGrant::Refused(refusal),
         }
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -7,6 +7,7 @@
 use http::HeaderName;
 
 use crate::board::Board;
+use crate::body::BodyMemory;
 use crate::claims;
 use crate::connection::Connections;
 use crate::dialect::Dialect;
@@ -35,6 +36,8 @@
     pub peers: PeerConnections,
     /// Slots of the local backend server that are held for requests of other daemons.
     pub reservations: Reservations,
+    /// Memory for long bodies that other daemons send.
+    pub bodies: BodyMemory,
     /// Connections to the local backend server.
     pub server: Connections,
     /// Sends claims to the task that writes them to the store.
--- a/tests/reservations.rs
+++ b/tests/reservations.rs
@@ -5,8 +5,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use fleet::{Fleet, document, plan, until};
+use gypsumtack::Settings;
 use gypsumtack::document::Importance;
 use gypsumtack::envelope::{Envelope, RequestId};
 use gypsumtack::message::Message;
@@ -21,6 +23,11 @@
 
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Memory for long bodies at a small daemon, in bytes. One half is for bodies of up to 1 MiB.
+const BODY_MEMORY: usize = 2 << 20;
+
+const UPLOAD_BYTES: usize = 360_000;
+
 /// A loopback proxy that passes bytes on until it is told to fall silent. Connections stay open then.
 struct Proxy {
     address: SocketAddr,
@@ -117,6 +124,37 @@
     }
 }
 
+/// Bodies that the daemon beside a backend server cannot hold stay at the daemons that received them.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_bodies_over_the_memory_bound_wait_at_their_sender() {
+    let mut fleet = Fleet::start(&document()).await;
+    let entry = fleet.add("a", plan("front", 8, 1, &[])).await;
+    let text = fleet::settings_text("vm-small", "a", fleet.platform.address());
+    let mut settings = Settings::parse(&text, "test").unwrap();
+    settings.limits.body_memory = BODY_MEMORY;
+    let small = fleet.add_with(settings, plan("deep", 8, 200, &[])).await;
+    fleet.settle(&["deep"]).await;
+    let upload = |index: usize| {
+        let request = CallerRequest::post("/sign", vec![b'v'; UPLOAD_BYTES].into());
+        let request = request.key("acme-key").header(IDEMPOTENCY_KEY, &format!("upload-{index}"));
+        fleet.ask(entry, request)
+    };
+    let uploads = futures::future::join_all((0..8).map(upload));
+    let backend = &fleet.nodes[small].backend;
+    let watching = async {
+        let mut most = 0;
+        while backend.arrivals().len() < 8 {
+            most = most.max(backend.in_flight());
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        most
+    };
+    let (answers, most) = tokio::join!(uploads, watching);
+    assert!(answers.iter().all(|answer| answer.outcome() == "ran"), "{answers:?}");
+    let bound = BODY_MEMORY / 2 / UPLOAD_BYTES;
+    assert!(most as usize <= bound, "{most} bodies at once, {bound} fit into the memory");
+}
+
 /// A slot that was reserved for a request which never arrives is free again soon.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unused_reservation_expires() {
@@ -124,7 +162,7 @@
     let gate = Arc::clone(&fleet.nodes[1].daemon.board().gate);
     let peers = &fleet.nodes[0].daemon.shared().peers;
     let envelope = envelope();
-    let granted = peers.reserve(fleet.nodes[0].daemon.shared(), proxy.address, envelope).await;
+    let granted = peers.reserve(fleet.nodes[0].daemon.shared(), proxy.address, envelope, 0).await;
     assert!(matches!(granted, Ok(SlotGrant::Held(_))), "{granted:?}");
     assert_eq!(gate.load().in_flight, 1);
     until("the slot is free", || gate.load().in_flight == 0).await;
@@ -136,7 +174,7 @@
     let (fleet, _proxy) = start_fleet().await;
     let (entry, instance) = (fleet.nodes[0].daemon.shared(), &fleet.nodes[1]);
     let address = instance.daemon.board().record().peers;
-    let granted = entry.peers.reserve(entry, address, envelope()).await;
+    let granted = entry.peers.reserve(entry, address, envelope(), 0).await;
     let Ok(SlotGrant::Held(slot)) = granted else { panic!("{granted:?}") };
     until("the slot is free", || instance.daemon.board().gate.load().in_flight == 0).await;
     let message = Message {
