Hold a reserved slot for as long as its body takes

Callers saw 503 for uploads of some megabytes that were to run on another VM: the slot that is reserved first was held for 250 ms, and a body that takes longer on the link came too late for it, at each VM.

Cause: one hold time for bodies of any length, since requests that must not run twice reserve a slot.

Evidence: a_slot_is_held_for_as_long_as_its_body_takes, a body of 8 MiB whose request comes a second after the grant. Before: left: (NotRun, Some(SlotExpired)), right: (Ran, None); after: passes, as do the other four of tests/reservations.rs.

Change: the hold time grows with the length of the body, at 4 MiB a second, up to the time that the request has left.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -501,7 +501,11 @@
         body_bytes: usize,
     ) -> SlotGrant {
         match backend::admit_with_body(&self.shared, &envelope, body_bytes).await {
-            Ok(admission) => SlotGrant::Held(reservation::hold(&self.shared, admission)),
+            Ok(admission) => {
+                let time_left = Duration::from_micros(envelope.time_left_us);
+                let span = reservation::hold_time(body_bytes, time_left);
+                SlotGrant::Held(reservation::hold(&self.shared, admission, span))
+            }
             Err(refusal) => SlotGrant::Refused(refusal),
         }
     }
--- a/src/reservation.rs
+++ b/src/reservation.rs
@@ -19,6 +19,9 @@
 /// How long a slot is held for a request that does not arrive. It allows for a daemon that is late itself.
 const HOLD_TIME: Duration = Duration::from_millis(250);
 
+/// Rate at which a body arrives at least, in bytes per second. A slot is held for as long as its body takes.
+const MIN_BODY_RATE: usize = 4 << 20;
+
 /// Identifies a reservation at the daemon that granted it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SlotId(u64);
@@ -45,13 +48,19 @@
     }
 }
 
-/// Holds an admitted request's slot until it is taken or the hold time is over.
-pub fn hold(shared: &Arc<Shared>, admission: Admission) -> SlotId {
+/// Returns how long a slot is held for a request with a body of `body_bytes` and this time left.
+pub fn hold_time(body_bytes: usize, time_left: Duration) -> Duration {
+    let transfer = Duration::from_secs_f64(body_bytes as f64 / MIN_BODY_RATE as f64);
+    HOLD_TIME + transfer.min(time_left)
+}
+
+/// Holds an admitted request's slot until it is taken or `span` is over.
+pub fn hold(shared: &Arc<Shared>, admission: Admission, span: Duration) -> SlotId {
     let slot = SlotId(rand::random());
     lock(&shared.reservations.held).insert(slot, admission);
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        tokio::time::sleep(HOLD_TIME).await;
+        tokio::time::sleep(span).await;
         if let Some(admission) = shared.reservations.take(slot) {
             tracing::info!(event = "slot-expired", vm = shared.board.settings.vm);
             admission.cancel();
--- a/tests/reservations.rs
+++ b/tests/reservations.rs
@@ -12,7 +12,7 @@
 use gypsumtack::document::Importance;
 use gypsumtack::envelope::{Envelope, RequestId};
 use gypsumtack::message::Message;
-use gypsumtack::reason::Reason;
+use gypsumtack::reason::{Outcome, Reason};
 use gypsumtack::reservation::SlotGrant;
 use gypsumtack_standin::backend::OPERATION;
 use gypsumtack_standin::caller::CallerRequest;
@@ -168,6 +168,26 @@
     until("the slot is free", || gate.load().in_flight == 0).await;
 }
 
+/// A body of some megabytes takes longer than a slot is held for a short request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slot_is_held_for_as_long_as_its_body_takes() {
+    let (fleet, _proxy) = start_fleet().await;
+    let (entry, instance) = (fleet.nodes[0].daemon.shared(), &fleet.nodes[1]);
+    let address = instance.daemon.board().record().peers;
+    let envelope = Envelope { time_left_us: 10_000_000, ..envelope() };
+    let granted = entry.peers.reserve(entry, address, envelope.clone(), 8 << 20).await;
+    let Ok(SlotGrant::Held(slot)) = granted else { panic!("{granted:?}") };
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let message = Message {
+        method: Method::POST,
+        uri: Uri::from_static("/sign"),
+        headers: HeaderMap::new(),
+        body: "x".into(),
+    };
+    let answer = entry.peers.run_reserved(entry, address, slot, envelope, message).await.unwrap();
+    assert_eq!((answer.report.outcome, answer.report.reason), (Outcome::Ran, None));
+}
+
 /// The daemon that sends the request takes `not-run` for certain, and may send it to another instance.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_arrives_after_its_slot_has_expired_is_not_run() {
