Count one crash of a backend server once, however many requests saw it

What callers saw: one backend server crashes while it runs several equal requests (same customer, service, method, path and body). All further ones are refused everywhere for ten minutes as quarantined, although one of them never crashed anything.

Class: counters merged without knowing what they count.

Change: a crash is identified by the run of the backend server that it ended, which the entry knows from the instance. A run ends with its crash, so all requests and daemons name the same one.

What remains: requests that run while two backend servers crash at the same time are still quarantined.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -81,7 +81,7 @@
         let now = board.clock.now();
         if answer.report.reason == Some(Reason::Crashed) {
             suspect = true;
-            board.record_crash(fingerprint());
+            board.record_crash(fingerprint(), instance.run);
         } else if suspect && answer.report.outcome == Outcome::Ran {
             board.update_quarantine(|quarantine, _| quarantine.record_completion(fingerprint()));
         }
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -450,9 +450,9 @@
     }
 
     /// Records that a backend server crashed on a request, and triggers a heartbeat that informs other
-    /// daemons.
-    pub fn record_crash(&self, fingerprint: Fingerprint) {
-        let crash = CrashId::random(&mut rand::rng());
+    /// daemons. `run` is the run that crashed, if it is known.
+    pub fn record_crash(&self, fingerprint: Fingerprint, run: Option<u64>) {
+        let crash = run.map_or_else(|| CrashId::random(&mut rand::rng()), CrashId::of_run);
         self.update_quarantine(|quarantine, now| quarantine.record_crash(fingerprint, crash, now));
         self.heartbeat_due.notify_one();
     }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -56,7 +56,13 @@
 pub struct CrashId(u64);
 
 impl CrashId {
-    /// Creates the id of a new crash.
+    /// Returns the id of the crash of one run of a backend server. A run ends with its crash, so all
+    /// requests and daemons that see it name the same one.
+    pub const fn of_run(run: u64) -> Self {
+        Self(run)
+    }
+
+    /// Creates the id of a crash of a run that cannot be told from others.
     pub fn random(rng: &mut impl Rng) -> Self {
         Self(rng.random())
     }
--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -80,6 +80,37 @@
     }
 }
 
+/// Guards against a quarantine of requests that merely ran together while one instance crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_crash_under_several_equal_requests_counts_once() {
+    let mut fleet = Fleet::start(&document()).await;
+    let crashing = fleet.add("a", plan("deep", 8, 60_000, &[])).await;
+    let other = fleet.add("b", plan("front", 8, 1, &[])).await;
+    fleet.settle(&["deep"]).await;
+    let get = |path: &str| CallerRequest::get(path).key("acme-key");
+    let crash = async {
+        let running = || fleet.nodes[crashing].backend.in_flight() == 4;
+        until("the equal requests run", running).await;
+        fleet.ask(other, get("/deep/guilty").header(CRASH, "1")).await
+    };
+    let equal = |node| fleet.ask(node, get("/deep/equal"));
+    let (first, second, third, fourth, _) =
+        tokio::join!(equal(crashing), equal(crashing), equal(other), equal(other), crash);
+    for answer in [first, second, third, fourth] {
+        assert_eq!((answer.outcome(), answer.reason()), ("unknown", "crashed"), "{answer:?}");
+    }
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    for node in [crashing, other] {
+        let board = fleet.nodes[node].daemon.board();
+        until("the new instance is known", || {
+            board.instances.load().for_service("deep").len() == 1
+        })
+        .await;
+        let answer = fleet.ask(node, get("/deep/equal")).await;
+        assert_eq!((answer.outcome(), answer.reason()), ("ran", ""), "{answer:?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashed_instances_of_several_daemons_at_once_reaches_no_more() {
     let mut fleet = Fleet::start(&document()).await;
