Make no success and no promise of a stored answer's odd status

What callers saw: a repeat of a request that must not run twice gets the stored answer of its first run. If the row's status is no HTTP status, the answer is 200.

Cause: a default in place of a value that cannot be read, and a status that was checked where it came from the backend server but not where it came from the store.

Evidence: a_stored_answer_with_an_odd_status_is_no_success_and_promises_nothing failed on for status 0: left: (200, "ran") right: (502, "ran")

Change: such an answer is refused with the outcome ran, as one whose body cannot be read is. tests/odd_entries.rs (9 tests) and tests/claims.rs (2 tests) pass.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -23,7 +23,7 @@
 use crate::forward::{self, Call};
 use crate::key::Digest;
 use crate::message::Answer;
-use crate::reason::{Outcome, Reason};
+use crate::reason::{self, Outcome, Reason};
 use crate::recall::{self, RecentClaims, Restoration};
 use crate::retry::RetryBudget;
 use crate::shared::Shared;
@@ -271,7 +271,10 @@
         StoredBody::Row(text) => STANDARD.decode(text).ok().map(Bytes::from),
         StoredBody::Object(name) => shared.store.object(name).await.ok().flatten(),
     };
-    let Some(body) = body else {
+    let status = StatusCode::from_u16(stored.status).ok();
+    let status =
+        status.filter(|status| !status.is_informational() && !reason::promises_not_run(*status));
+    let (Some(body), Some(status)) = (body, status) else {
         return Answer::refusal(request, Outcome::Ran, Reason::ClaimUnavailable);
     };
     let mut headers = HeaderMap::new();
@@ -283,7 +286,6 @@
         }
     }
     headers.insert(REPLAYED, HeaderValue::from_static("true"));
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     let report = Report::new(request, Outcome::Ran, None);
     Answer { status, headers, body, report }
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,13 +3,14 @@
 mod fleet;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fleet::{Fleet, document, plan, until};
-use gypsumtack::claim;
+use gypsumtack::claim::{self, Claim};
 use gypsumtack::document::Importance;
 use gypsumtack::envelope::{Envelope, RequestId};
 use gypsumtack::member::{Record, State};
-use gypsumtack::message::Message;
+use gypsumtack::message::{IDEMPOTENCY_KEY, Message};
 use gypsumtack::store::{Commit, Transaction};
 use gypsumtack_standin::caller::{Answer, CallerRequest};
 use http::{HeaderMap, HeaderName, Method};
@@ -167,6 +168,38 @@
     assert_eq!(fleet.begun(), 2);
 }
 
+/// Guards against a stored answer without a usable status that becomes a success or a promise.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stored_answer_with_an_odd_status_is_no_success_and_promises_nothing() {
+    let mut fleet = Fleet::start(&document()).await;
+    add(&mut fleet).await;
+    fleet.settle(&["deep"]).await;
+    let client = fleet.client();
+    for status in [0, 101, 408, 421, 429, 503, 1_000] {
+        let operation = format!("status-{status}");
+        let sign = async || -> Answer {
+            let request = CallerRequest::post("/sign", "x".into()).key("acme-key");
+            fleet.ask(0, request.header(IDEMPOTENCY_KEY, &operation)).await
+        };
+        assert_eq!(sign().await.outcome(), "ran");
+        let key = claim::row_key(Some("acme"), operation.as_bytes());
+        let (version, mut stored) = loop {
+            let row = client.row(&key).await.unwrap().unwrap();
+            let claim: Claim = row.decode().unwrap();
+            if let claim::State::Done(_) = claim.state {
+                break (row.version, claim);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        };
+        let claim::State::Done(answer) = &mut stored.state else { unreachable!() };
+        answer.status = status;
+        let transaction = Transaction::default().check(&key, version).put(&key, &stored);
+        assert!(matches!(client.commit(&transaction).await, Ok(Commit::Done(_))));
+        let again = sign().await;
+        assert_eq!((again.status.as_u16(), again.outcome()), (502, "ran"), "{status}: {again:?}");
+    }
+}
+
 /// Guards against a fleet that no VM can join, since the row of the roster is damaged.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_damaged_roster_row_is_written_again() {
