Accept no name that makes the VM's own record invalid

What operators saw: a VM whose failure domain in the settings, or whose service in an announcement, has more than 200 bytes or a control character starts and serves callers, but every other daemon drops its heartbeats and its row, so it is in no roster.

What the record is made of, the settings and the announcements, was checked by other rules, or not at all. Where the settings name the service, as on the platform, announcements were already bound to it.

Change: one rule, member::check_name, for records, settings and announcements.

--- a/src/announcement.rs
+++ b/src/announcement.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::member;
+
 /// Maximum length of the id of a run, in bytes. It is sent with every request.
 const MAX_ID_BYTES: usize = 128;
 
@@ -71,6 +73,7 @@
         if self.slots > MAX_SLOTS {
             return Err(Rejection::Slots { announced: self.slots });
         }
+        member::check_name(&self.service).map_err(|problem| Rejection::ServiceName { problem })?;
         if self.id.len() > MAX_ID_BYTES || !self.id.bytes().all(|byte| byte.is_ascii_graphic()) {
             return Err(Rejection::Id { length: self.id.len() });
         }
@@ -114,6 +117,11 @@
         /// The announced number.
         announced: u32,
     },
+    /// Its service cannot be the name of one.
+    ServiceName {
+        /// What is wrong with the name.
+        problem: String,
+    },
     /// Its id is too long, or cannot be sent in a header.
     Id {
         /// Its length in bytes.
@@ -149,6 +157,7 @@
             Self::Slots { announced } => {
                 write!(f, "{announced} slots are announced; announce at most {MAX_SLOTS}")
             }
+            Self::ServiceName { problem } => write!(f, "the service cannot be named so: {problem}"),
             Self::Id { length } => write!(
                 f,
                 "an id of {length} bytes is announced; use at most {MAX_ID_BYTES} visible ASCII characters"
--- a/src/member.rs
+++ b/src/member.rs
@@ -93,6 +93,21 @@
     pub operators: SocketAddr,
 }
 
+/// Checks a name of a VM, a failure domain or a service: records with other names are not valid.
+///
+/// # Errors
+///
+/// Returns what is wrong with the name.
+pub fn check_name(name: &str) -> Result<(), String> {
+    if name.is_empty() || name.len() > MAX_NAME_BYTES {
+        return Err(format!("it has {} bytes; use 1 to {MAX_NAME_BYTES}", name.len()));
+    }
+    if name.contains(char::is_control) {
+        return Err("it has control characters".to_owned());
+    }
+    Ok(())
+}
+
 impl Record {
     /// Checks a record that comes from outside. All records of a [`View`] have passed this check.
     ///
@@ -102,13 +117,11 @@
     pub fn validate(&self) -> Result<(), String> {
         let names = [("vm", &self.vm), ("domain", &self.domain), ("service", &self.service)];
         for (field, name) in names {
-            let may_be_empty = field == "service";
-            if name.len() > MAX_NAME_BYTES || (name.is_empty() && !may_be_empty) {
-                return Err(format!("{field} has {} bytes", name.len()));
-            }
-            if name.contains(char::is_control) {
-                return Err(format!("{field} has control characters"));
+            // A VM whose backend server has not announced itself has no service.
+            if field == "service" && name.is_empty() {
+                continue;
             }
+            check_name(name).map_err(|problem| format!("{field}: {problem}"))?;
         }
         let addresses =
             [("peers", self.peers), ("control", self.control), ("operators", self.operators)];
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -110,6 +110,7 @@
         }
         Rejection::Incomplete
         | Rejection::Slots { .. }
+        | Rejection::ServiceName { .. }
         | Rejection::Id { .. }
         | Rejection::Unreachable { .. } => StatusCode::BAD_REQUEST,
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 
 use crate::announcement::Identity;
 use crate::error::{Error, Invalid, Result};
+use crate::member;
 
 /// Minimum length of a secret.
 const MIN_SECRET_BYTES: usize = 16;
@@ -204,6 +205,10 @@
             let remedy = "name the failure domain that the VM stands in";
             return Err(error("failure_domain", "it is empty".to_owned(), remedy));
         }
+        for (key, name) in [("vm", &self.vm), ("failure_domain", &self.failure_domain)] {
+            let remedy = "use letters, digits, - and _";
+            member::check_name(name).map_err(|problem| error(key, problem, remedy))?;
+        }
         if !(1..=64).contains(&self.limits.threads) {
             let problem = format!("it is {}", self.limits.threads);
             return Err(error("limits.threads", problem, "set it between 1 and 64"));
--- a/tests/odd_records.rs
+++ b/tests/odd_records.rs
@@ -1,8 +1,10 @@
 //! Records and reports with drawn values, as another writer or a faulty daemon may send them. No network.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use gypsumtack::announcement::{BackendServer, Identity};
 use gypsumtack::document::Policy;
 use gypsumtack::envelope::Load;
 use gypsumtack::instance::Instances;
@@ -12,6 +14,7 @@
 use gypsumtack::quarantine::{CrashId, Quarantine, SuspectReport};
 use gypsumtack::roster::{Members, Roster};
 use gypsumtack::router;
+use gypsumtack::settings::Settings;
 use gypsumtack::time::Time;
 use gypsumtack::{codec, era};
 use proptest::prelude::*;
@@ -155,3 +158,56 @@
         let _ = codec::decode::<Roster>(&bytes);
     }
 }
+
+/// Guards against a VM that all others ignore because of a name that its own daemon has accepted.
+#[test]
+fn a_name_that_a_daemon_accepts_is_valid_in_its_record() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let backend = BackendServer {
+        id: String::new(),
+        started: 0,
+        sequence: 0,
+        cold_ms: 0,
+        service: String::new(),
+        address: address(80),
+        slots: 1,
+        draining: false,
+    };
+    let record = Record {
+        vm: "vm".to_owned(),
+        incarnation: 1,
+        counter: 1,
+        state: State::Ready,
+        suspect: false,
+        domain: "a".to_owned(),
+        service: "s".to_owned(),
+        slots: 1,
+        run: None,
+        sheds: false,
+        limit: None,
+        epoch: 0,
+        peers: address(1),
+        control: address(2),
+        operators: address(3),
+    };
+    let settings = |vm: &str, domain: &str| {
+        let listen = ["callers", "egress", "peers", "control", "operators"];
+        let listen = listen.map(|name| format!("{name} = \"127.0.0.1:0\"\n")).concat();
+        let text = format!(
+            "vm = {vm:?}\nfailure_domain = {domain:?}\n[listen]\n{listen}\
+             [platform]\naddress = \"127.0.0.1:1\"\n[fleet]\nsecrets = []\nopen = true\n"
+        );
+        Settings::parse(&text, "test")
+    };
+    settings("vm", "a").unwrap();
+    for name in ["x".repeat(64), "x".repeat(200), "x".repeat(201), "a\nb".to_owned()] {
+        let vm = Record { vm: name.clone(), ..record.clone() };
+        assert!(settings(&name, "a").is_err() || vm.validate().is_ok(), "vm {name:?}");
+        let domain = Record { domain: name.clone(), ..record.clone() };
+        assert!(settings("vm", &name).is_err() || domain.validate().is_ok(), "domain {name:?}");
+        let service = Record { service: name.clone(), ..record.clone() };
+        let announced = BackendServer { service: name.clone(), ..backend.clone() };
+        let rejected = announced.check(&Identity::default()).is_err();
+        assert!(rejected || service.validate().is_ok(), "service {name:?}");
+    }
+}
