Show that a run with an earlier start than a withdrawn one of its id is never used

What callers saw: nothing yet; found by reading. An instance withdraws, its clock is set back beyond the start of that run, and it starts again under the same id. Each of its announcements is acknowledged, and it gets no requests.

Cause: Runs::has_withdrawn takes each start up to the withdrawn one for withdrawn, and judge returns before the rule that heals a wrong start. It is the one place in which a single start is trusted for good. A withdrawal without a start of an id that is not known is worse, since the daemon's own clock stands in for the start.

Not mended: an announcement of a run that has withdrawn must stay withdrawn, also while it announces itself on, or it gets requests while it ends.

--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -259,3 +259,36 @@
     assert!(verdicts[proved.unwrap()..].iter().all(|verdict| *verdict == Verdict::Newest));
     assert_eq!(runs.withdraw("i-1", started, EPOCH_MS), Withdrawal::Newest);
 }
+
+/// Guards against a backend server that is acknowledged and never used, since its clock was set back
+/// after an earlier run of its id had withdrawn.
+#[test]
+fn a_run_of_a_withdrawn_id_with_an_earlier_start_is_used_once_it_is_proved() {
+    let mut runs = Runs::default();
+    let (earlier, withdrawn) = (EPOCH_MS - 5_000, EPOCH_MS);
+    let verdict = runs.judge(&backend("one", withdrawn, 1, false), Time::ZERO, EPOCH_MS);
+    assert_eq!(verdict, Verdict::Newest);
+    assert_eq!(runs.withdraw("one", 0, EPOCH_MS), Withdrawal::Newest);
+    let verdicts = (1..=20).map(|sequence| {
+        let now = Time::from_millis(sequence * INTERVAL_MS);
+        let late = backend("one", withdrawn, sequence + 1, false);
+        assert_eq!(runs.judge(&late, now, EPOCH_MS), Verdict::Withdrawn);
+        runs.judge(&backend("one", earlier, sequence, false), now, EPOCH_MS)
+    });
+    let verdicts: Vec<_> = verdicts.collect();
+    let proved = MAX_DELAY.as_millis().div_ceil(u128::from(INTERVAL_MS)) as usize;
+    assert!(verdicts[..proved - 1].iter().all(|verdict| *verdict == Verdict::Withdrawn));
+    assert!(verdicts[proved..].iter().all(|verdict| *verdict == Verdict::Newest), "{verdicts:?}");
+}
+
+/// Guards against a run that withdrew without a start, which nobody knows, and announces itself on.
+#[test]
+fn a_run_that_withdrew_before_it_was_known_is_never_used() {
+    let mut runs = Runs::default();
+    assert_eq!(runs.withdraw("one", 0, EPOCH_MS), Withdrawal::Unannounced);
+    for sequence in 1..=20 {
+        let now = Time::from_millis(sequence * INTERVAL_MS);
+        let verdict = runs.judge(&backend("one", EPOCH_MS - 5_000, sequence, false), now, EPOCH_MS);
+        assert_eq!(verdict, Verdict::Withdrawn);
+    }
+}
