Let the test of leftover bytes wait for them instead of a time

The test slept 25 ms and 50 ms so that the leftover was written after the answer had been read and before the next request. On a machine that wakes a thread later, the leftover follows the next request, where without ids it is believed: a failure that says nothing.

The backend server now writes the leftover when the test says that it has read the answer, and the test goes on when it is written; the thread of the runtime is held meanwhile, as before.

--- a/tests/leftovers.rs
+++ b/tests/leftovers.rs
@@ -3,7 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::sync::mpsc;
 
 use bytes::Bytes;
 use gypsumtack::connection::Connections;
@@ -13,9 +13,6 @@
 
 const LIMIT: u64 = 1_000;
 
-/// Time for which the thread of the runtime is held, so that nothing reads the connection meanwhile.
-const HOLD: Duration = Duration::from_millis(50);
-
 /// What follows the first answer.
 const LEFTOVERS: [(&str, &str); 5] = [
     ("success", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother"),
@@ -36,35 +33,59 @@
     Idle,
 }
 
+/// Tells a backend server that its answer was read, and waits until it has written the leftover.
+struct Gate {
+    read: mpsc::Sender<()>,
+    written: mpsc::Receiver<()>,
+}
+
+impl Gate {
+    /// Holds the thread of the runtime meanwhile, so that nothing reads the connection.
+    fn pass(&self) {
+        self.read.send(()).unwrap();
+        self.written.recv().unwrap();
+    }
+}
+
 /// Starts a backend server on threads of its own.
-fn start(leftover: &'static str, moment: Moment) -> SocketAddr {
+fn start(leftover: &'static str, moment: Moment) -> (SocketAddr, Gate) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
+    let (read, is_read) = mpsc::channel();
+    let (write, written) = mpsc::channel();
     std::thread::spawn(move || {
-        let mut is_first = true;
+        let mut first = Some((is_read, write));
         while let Ok((stream, _)) = listener.accept() {
-            let leftover = if std::mem::take(&mut is_first) { leftover } else { "" };
-            std::thread::spawn(move || serve(stream, leftover, moment));
+            let first = first.take();
+            std::thread::spawn(move || serve(stream, leftover, moment, first));
         }
     });
-    address
+    (address, Gate { read, written })
 }
 
-fn serve(mut stream: TcpStream, leftover: &str, moment: Moment) -> std::io::Result<()> {
+/// Serves a connection, with a leftover behind the first answer of the `first` one.
+fn serve(
+    mut stream: TcpStream,
+    leftover: &str,
+    moment: Moment,
+    mut first: Option<(mpsc::Receiver<()>, mpsc::Sender<()>)>,
+) -> std::io::Result<()> {
     const ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
     stream.set_nodelay(true)?;
     let mut buffer = [0; 4096];
-    let mut leftover = leftover;
     while stream.read(&mut buffer)? > 0 {
-        match moment {
-            Moment::SameSegment => stream.write_all(format!("{ANSWER}{leftover}").as_bytes())?,
-            Moment::Idle => {
+        match (first.take(), moment) {
+            (None, _) => stream.write_all(ANSWER.as_bytes())?,
+            (Some(_), Moment::SameSegment) => {
+                stream.write_all(format!("{ANSWER}{leftover}").as_bytes())?;
+            }
+            (Some((is_read, written)), Moment::Idle) => {
                 stream.write_all(ANSWER.as_bytes())?;
-                std::thread::sleep(HOLD / 2);
+                is_read.recv().unwrap();
                 stream.write_all(leftover.as_bytes())?;
+                written.send(()).unwrap();
             }
         }
-        leftover = "";
     }
     Ok(())
 }
@@ -78,13 +99,13 @@
     let mut wrong = Vec::new();
     for (name, leftover) in LEFTOVERS {
         for moment in [Moment::SameSegment, Moment::Idle] {
-            let address = start(leftover, moment);
+            let (address, gate) = start(leftover, moment);
             let connections = Connections::new(Clock::start());
             let ask = || connections.send_request(address, request(), false, LIMIT, |_| true);
             let (_, _, body) = ask().await.unwrap();
             assert_eq!(body, "own");
             if moment == Moment::Idle {
-                std::thread::sleep(HOLD);
+                gate.pass();
             }
             match ask().await {
                 Ok((_, _, body)) if body == "own" => {}
