Use a run of a withdrawn id with an earlier start once it is proved

What callers would see: an instance withdraws, its clock is set back beyond the start of that run, and it starts again under the same id. Its announcements were acknowledged, and it got no requests for good.

Cause: each start up to a withdrawn one of the same id counted as withdrawn, so a single start was trusted for good. Class: the one of the announcements that a single odd message outdated.

Change: what has withdrawn is remembered by its own start. An earlier start of the same id still looks withdrawn until its announcements prove it, as those of other runs do. Where a withdrawal names no start and its run is not known, all earlier starts stay withdrawn.

--- a/src/runs.rs
+++ b/src/runs.rs
@@ -21,7 +21,7 @@
 /// How far the start of a run may lie ahead of this VM's clock.
 pub const MAX_CLOCK_ERROR: Duration = Duration::from_secs(60);
 
-/// Number of runs of which it is remembered that they have withdrawn.
+/// Number of withdrawals that are remembered.
 const MAX_WITHDRAWN: usize = 64;
 
 /// What becomes of one announcement.
@@ -32,7 +32,7 @@
     /// It is delayed, and of the newest run. That this run drains holds nevertheless, since a run that
     /// drains does not stop doing so.
     Delayed,
-    /// Its run has withdrawn.
+    /// Its run has withdrawn, or a later one of its id.
     Withdrawn,
     /// It is of an earlier run, or its start lies in the future.
     OtherRun,
@@ -74,6 +74,14 @@
     }
 }
 
+/// Runs of one id that have withdrawn: those whose starts lie in a range.
+#[derive(Debug, Clone)]
+struct Withdrawn {
+    id: String,
+    first: u64,
+    last: u64,
+}
+
 /// The runs of the local backend server that have announced themselves.
 #[derive(Debug, Clone, Default)]
 pub struct Runs {
@@ -82,17 +90,18 @@
     rival: Option<Run>,
     /// When the rival was first heard.
     rival_since: Time,
-    /// Id and start of the runs that have withdrawn, the latest last.
-    withdrawn: VecDeque<(String, u64)>,
+    /// Those that have withdrawn last.
+    withdrawn: VecDeque<Withdrawn>,
 }
 
 impl Runs {
     /// Decides about an announcement. `unix_ms` is the time of this VM's clock, in milliseconds since the
     /// Unix epoch.
     pub fn judge(&mut self, backend: &BackendServer, now: Time, unix_ms: u64) -> Verdict {
-        if self.has_withdrawn(&backend.id, backend.started) {
+        if self.has_withdrawn(backend) {
             return Verdict::Withdrawn;
         }
+        let precedes_withdrawn = self.precedes_withdrawn(backend);
         let verdict = match &mut self.newest {
             Some(newest) if newest.announced(backend) => {
                 if backend.sequence < newest.sequence {
@@ -105,6 +114,7 @@
                     return Verdict::Newest;
                 }
             }
+            _ if precedes_withdrawn => Verdict::Withdrawn,
             _ if is_future(backend.started, unix_ms) => Verdict::OtherRun,
             None => Verdict::Newest,
             Some(newest) if backend.started > newest.started => Verdict::Newest,
@@ -146,27 +156,34 @@
         if is_future(started, unix_ms) && !is_known {
             return Withdrawal::OtherRun;
         }
-        let (last, withdrawal) = match newest {
-            Some(newest) if started == 0 => (newest.started, Withdrawal::Newest),
-            Some(newest) if started >= newest.started => (started, Withdrawal::Newest),
-            Some(_) => (started, Withdrawal::OtherRun),
+        let (first, last, withdrawal) = match newest {
+            Some(newest) if started == 0 => (newest.started, newest.started, Withdrawal::Newest),
+            Some(newest) if started >= newest.started => {
+                (newest.started, started, Withdrawal::Newest)
+            }
+            Some(_) => (started, started, Withdrawal::OtherRun),
             // Whichever run of this id withdraws, it has started by now.
-            None if started == 0 => (unix_ms, Withdrawal::Unannounced),
-            None => (started, Withdrawal::Unannounced),
+            None if started == 0 => (0, unix_ms, Withdrawal::Unannounced),
+            None => (started, started, Withdrawal::Unannounced),
         };
-        let known = self.withdrawn.iter().position(|(known, _)| known == id);
-        let known = known.and_then(|index| self.withdrawn.remove(index));
-        let last = known.map_or(last, |(_, known)| last.max(known));
-        self.withdrawn.push_back((id.to_owned(), last));
+        self.withdrawn.push_back(Withdrawn { id: id.to_owned(), first, last });
         if self.withdrawn.len() > MAX_WITHDRAWN {
             self.withdrawn.pop_front();
         }
         withdrawal
     }
 
-    /// Whether this run has withdrawn, or a later one of the same id has.
-    fn has_withdrawn(&self, id: &str, started: u64) -> bool {
-        self.withdrawn.iter().any(|(known, last)| known == id && started <= *last)
+    /// Whether the run of an announcement has withdrawn.
+    fn has_withdrawn(&self, backend: &BackendServer) -> bool {
+        let is_among = |runs: &Withdrawn| (runs.first..=runs.last).contains(&backend.started);
+        self.withdrawn.iter().any(|runs| runs.id == backend.id && is_among(runs))
+    }
+
+    /// Whether a later run of the same id has withdrawn. The announcement is then a delayed one, unless the
+    /// clock of the backend server was set back since.
+    fn precedes_withdrawn(&self, backend: &BackendServer) -> bool {
+        let mut withdrawn = self.withdrawn.iter();
+        withdrawn.any(|runs| runs.id == backend.id && backend.started < runs.first)
     }
 }
 
