Name the maximum number of slots once, and wrap two comments

Announcements allowed 1,048,576 slots and records 1,000,000, each by a constant of the same name. An announcement between the two was acknowledged, and its VM told the others less. Announcements now use the limit of records. No test had a value between the two. Two comments had lost their line breaks.

--- a/src/announcement.rs
+++ b/src/announcement.rs
@@ -6,14 +6,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::member;
+use crate::member::{self, MAX_SLOTS};
 
 /// Maximum length of the id of a run, in bytes. It is sent with every request.
 const MAX_ID_BYTES: usize = 128;
 
-/// Maximum number of announced slots, so that the sum over the instances of a service is a `u32`.
-const MAX_SLOTS: u32 = 1 << 20;
-
 /// What the settings say of the local backend server. No announcement may differ from it, since not only
 /// the backend server can send one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -95,8 +95,9 @@
     }
 
     /// Sends a request once and reads its whole answer, whose body may have up to `limit` bytes. `matches`
-    /// decides from the head of the answer whether it belongs to the request. Only an idempotent one uses connections that have been idle for long, since it can be tried elsewhere if
-    /// the backend server has dropped the connection.
+    /// decides from the head of the answer whether it belongs to the request. Only an idempotent request
+    /// uses connections that have been idle for long, since it can be tried elsewhere if the backend server
+    /// has dropped the connection.
     ///
     /// # Errors
     ///
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -2,8 +2,8 @@
 //!
 //! The file is read again on a hangup signal, and once a second to find changes that no signal
 //! announced. Only the store's address and the identity of the local backend server can change without a
-//! restart. A file that cannot be read or
-//! parsed changes nothing. docs/OPERATIONS.md, "Settings", describes this for operators.
+//! restart. A file that cannot be read or parsed changes nothing. docs/OPERATIONS.md, "Settings", describes
+//! this for operators.
 
 use std::sync::Arc;
 use std::time::Duration;
