Send no request that has waited to a backend server that has left meanwhile

What callers saw: a request that arrives shortly before the end of leave_ms waits for a slot, or holds a reserved one, and is sent to the draining backend server when it gets one.

Cause: the backend server was looked up before the wait and used after it. Class: a state that is read, and used after time has passed. Waiting requests were also sent to a run that had crashed and been replaced meanwhile.

Change: run_admitted looks it up again, and refuses as not ready before a byte is sent, so that another instance gets the request.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -39,7 +39,6 @@
 /// A slot of the local backend server for one request.
 #[derive(Debug)]
 pub struct Admission {
-    backend: Arc<BackendServer>,
     permit: Permit,
     /// Keeps other suspected requests from running, if the request is suspected.
     _suspect_permit: Option<SuspectPermit>,
@@ -77,7 +76,7 @@
 ) -> Result<Admission, Box<Answer>> {
     let board = &shared.board;
     let refuse = |reason| Box::new(refuse(shared, envelope, reason));
-    let backend = usable_backend(shared, envelope).ok_or_else(|| refuse(Reason::NotReady))?;
+    usable_backend(shared, envelope).ok_or_else(|| refuse(Reason::NotReady))?;
     if !board.may_send_to_backend() {
         return Err(refuse(Reason::Shedding));
     }
@@ -92,14 +91,7 @@
     let queue_wait = board.clock.now().since(queued);
     board.record_queue_wait(envelope.importance, queue_wait);
     let _memory = None;
-    Ok(Admission {
-        backend,
-        permit,
-        _suspect_permit: suspect_permit,
-        queue_wait,
-        deadline,
-        _memory,
-    })
+    Ok(Admission { permit, _suspect_permit: suspect_permit, queue_wait, deadline, _memory })
 }
 
 /// Waits for memory for a body of `body_bytes` that another daemon is about to send, and for a slot.
@@ -137,8 +129,12 @@
 ) -> Answer {
     let board = &shared.board;
     let request = envelope.request.clone();
-    let Admission { backend, mut permit, _suspect_permit, queue_wait, deadline, _memory } =
-        admission;
+    // The backend server that was there at the admission may have left or crashed during the wait.
+    let Some(backend) = usable_backend(shared, &envelope) else {
+        admission.cancel();
+        return refuse(shared, &envelope, Reason::NotReady);
+    };
+    let Admission { mut permit, _suspect_permit, queue_wait, deadline, _memory } = admission;
     // The envelope of a reserved request is newer than its admission.
     let deadline = deadline.min(deadline_of(board, &envelope));
     let started = permit.restart();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,6 +7,8 @@
 use fleet::{Fleet, Node, document, plan, until};
 use gypsumtack::announcement::BackendServer;
 use gypsumtack::daemon::Adapter;
+use gypsumtack::document::{CustomerId, Importance};
+use gypsumtack::guard::SlotRequest;
 use gypsumtack::member::State;
 use gypsumtack::time::Time;
 use gypsumtack::{Daemon, Settings};
@@ -137,3 +139,32 @@
         assert_eq!(count(), before, "requests after {answer:?}");
     }
 }
+
+/// Guards against a request that waits for a slot until long after the backend server has begun to drain.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waited_past_the_closing_does_not_reach_a_draining_backend_server() {
+    let document = document().replace("queue_ms = 1000", "queue_ms = 4000");
+    let mut fleet = Fleet::start(&document).await;
+    fleet.add("a", plan("deep", 1, 1, &[])).await;
+    fleet.settle(&["deep"]).await;
+    let board = fleet.nodes[0].daemon.board();
+    let slot = SlotRequest {
+        customer: CustomerId::new(0),
+        weight: 1,
+        importance: Importance::Normal,
+        objective: Duration::from_secs(1),
+        downstream: false,
+        deadline: Time::MAX,
+    };
+    let slot = board.gate.acquire(slot, "deep").await.unwrap();
+    let drain = async {
+        until("the request waits", || board.gate.load().queued == 1).await;
+        fleet.nodes[0].backend.drain();
+        until("the time to leave is over", || !board.is_ready()).await;
+        drop(slot);
+    };
+    let ask = fleet.ask(0, CallerRequest::get("/deep").key("acme-key"));
+    let (answer, ()) = tokio::join!(ask, drain);
+    assert_eq!((answer.outcome(), answer.reason()), ("not-run", "not-ready"), "{answer:?}");
+    assert_eq!(fleet.begun(), 0);
+}
