Remember a withdrawal that is repeated once

Each deregistration of one run took one of the 64 places, so a backend server that repeats its own made the daemon forget those of others, whose late announcements count again then.

--- a/src/runs.rs
+++ b/src/runs.rs
@@ -75,7 +75,7 @@
 }
 
 /// Runs of one id that have withdrawn: those whose starts lie in a range.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 struct Withdrawn {
     id: String,
     first: u64,
@@ -166,7 +166,9 @@
             None if started == 0 => (0, unix_ms, Withdrawal::Unannounced),
             None => (started, started, Withdrawal::Unannounced),
         };
-        self.withdrawn.push_back(Withdrawn { id: id.to_owned(), first, last });
+        let withdrawn = Withdrawn { id: id.to_owned(), first, last };
+        self.withdrawn.retain(|known| *known != withdrawn);
+        self.withdrawn.push_back(withdrawn);
         if self.withdrawn.len() > MAX_WITHDRAWN {
             self.withdrawn.pop_front();
         }
--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -292,3 +292,15 @@
         assert_eq!(verdict, Verdict::Withdrawn);
     }
 }
+
+/// Guards against a withdrawal that is forgotten because another one is repeated.
+#[test]
+fn a_repeated_withdrawal_takes_no_place_of_another() {
+    let mut runs = Runs::default();
+    runs.withdraw("one", EPOCH_MS, EPOCH_MS);
+    for _ in 0..100 {
+        runs.withdraw("two", EPOCH_MS, EPOCH_MS);
+    }
+    let verdict = runs.judge(&backend("one", EPOCH_MS, 9, false), Time::ZERO, EPOCH_MS);
+    assert_eq!(verdict, Verdict::Withdrawn);
+}
