--- a/src/board.rs
+++ b/src/board.rs
@@ -4,6 +4,8 @@
 //! snapshot and atomics. No lock is held across an await. docs/DESIGN.md, "Blackboard", lists the
 //! writer of each section.
 
+mod in_flight;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,6 +14,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::{Notify, watch};
 
+pub use self::in_flight::InFlight;
 use crate::allowance;
 use crate::announcement::{BackendServer, Identity};
 use crate::document::{Policy, RawDocument};
@@ -488,23 +491,3 @@
         }
     }
 }
-
-/// Counts a request of this daemon as in flight until it is dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    board: Arc<Board>,
-}
-
-impl InFlight {
-    /// Adds one request to the count.
-    pub fn count(board: &Arc<Board>) -> Self {
-        board.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self { board: Arc::clone(board) }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.board.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,6 +4,9 @@
 //! authenticated mutually with the fleet's secret. Calls are multiplexed: many share one connection, and
 //! all of them fail when it stops answering. docs/DESIGN.md, "Links".
 
+mod heartbeat;
+mod server;
+
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -11,15 +14,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures::StreamExt;
 use serde::{Deserialize, Serialize};
-use tarpc::server::{BaseChannel, Channel};
 use tarpc::{client, context};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OnceCell, watch};
 
-use crate::backend;
-use crate::board::Newer;
+pub use self::heartbeat::Heartbeat;
+use self::heartbeat::{merge_heartbeat, own_heartbeat};
+pub use self::server::serve;
 use crate::codec::Postcard;
 use crate::document::RawDocument;
 use crate::envelope::Envelope;
@@ -27,8 +28,7 @@
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::overload::{DemandReport, OverloadStatus};
-use crate::quarantine::SuspectReport;
-use crate::reservation::{self, SlotGrant, SlotId};
+use crate::reservation::{SlotGrant, SlotId};
 use crate::roster::Roster;
 use crate::share::LOAN_VALIDITY;
 use crate::shared::Shared;
@@ -78,24 +78,6 @@
     async fn ping();
 }
 
-/// The state that two daemons exchange periodically.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The record of the sender.
-    pub record: Record,
-    /// Recently changed records of other members, which the sender forwards.
-    pub rumors: Vec<Record>,
-    /// The version of the document that is in force at the sender.
-    pub document: u64,
-    /// The version of the roster that the sender holds.
-    pub roster: u64,
-    /// Time since the store last confirmed the sender's document, to the sender or to a peer that
-    /// reported it, in milliseconds.
-    pub age_ms: u32,
-    /// Reports of requests that crashed backend servers.
-    pub suspects: Vec<SuspectReport>,
-}
-
 /// Asks a peer to lend one token of a customer's rate.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct LoanRequest {
@@ -414,172 +396,3 @@
     };
     Ok(Arc::new(connection))
 }
-
-fn own_heartbeat(shared: &Shared) -> Heartbeat {
-    let board = &shared.board;
-    let age = board.clock.now().since(board.confirmed());
-    Heartbeat {
-        record: board.record(),
-        rumors: board.update_view(|view, _| view.take_rumors()),
-        document: board.policy.load().version,
-        roster: board.roster.load().version,
-        age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-        suspects: lock(&board.quarantine).recent_reports(board.clock.now()),
-    }
-}
-
-/// Merges the state that a peer sent. If a record marks this VM as suspect, this daemon refutes it by
-/// publishing a new record.
-fn merge_heartbeat(shared: &Shared, heartbeat: Heartbeat) {
-    let board = &shared.board;
-    let is_valid = |record: &Record| is_valid(shared, record);
-    if !is_valid(&heartbeat.record) {
-        return;
-    }
-    let control = heartbeat.record.control;
-    let me = &board.settings.vm;
-    let rumors = heartbeat.rumors.into_iter().filter(is_valid);
-    let records = std::iter::once(heartbeat.record).chain(rumors);
-    let (own, others): (Vec<_>, Vec<_>) = records.partition(|record| record.vm == *me);
-    let suspected = own.iter().any(|r| r.suspect && r.incarnation == board.incarnation);
-    if board.update_view(|view, now| view.merge_heartbeat(others, now)) {
-        board.heartbeat_due.notify_one();
-    }
-    if !heartbeat.suspects.is_empty() {
-        board.update_quarantine(|quarantine, now| quarantine.merge(&heartbeat.suspects, now));
-    }
-    if suspected {
-        board.publish_self();
-    }
-    // The store's confirmation counts only if the sender's document and roster are at least as new as
-    // the ones held here.
-    let current = heartbeat.document >= board.policy.load().version
-        && heartbeat.roster >= board.roster.load().version;
-    if current {
-        board.confirm(board.clock.now() - Duration::from_millis(u64::from(heartbeat.age_ms)));
-    }
-    update_newest(&board.newer_document, heartbeat.document, control);
-    board.mark_introduced();
-    update_newest(&board.newer_roster, heartbeat.roster, control);
-}
-
-/// Whether a record of a heartbeat names a VM. One that does not is logged, a few times a second at most.
-fn is_valid(shared: &Shared, record: &Record) -> bool {
-    let board = &shared.board;
-    let Err(problem) = record.validate() else { return true };
-    if let Some(weight) = board.log_sampler.weigh("record-invalid", board.clock.now()) {
-        let remedy = "it is skipped; update the daemon that forwards it";
-        tracing::warn!(event = "record-invalid", weight, vm = record.vm, problem, remedy);
-    }
-    false
-}
-
-fn update_newest(newer: &watch::Sender<Newer>, version: u64, control: SocketAddr) {
-    newer.send_if_modified(|newest| {
-        let newer = version > newest.version;
-        if newer {
-            *newest = Newer { version, control };
-        }
-        newer
-    });
-}
-
-#[derive(Debug, Clone)]
-struct Server {
-    shared: Arc<Shared>,
-}
-
-impl Peer for Server {
-    async fn run(self, _: context::Context, envelope: Envelope, message: Message) -> Answer {
-        backend::run(&self.shared, envelope, message).await
-    }
-
-    async fn reserve(
-        self,
-        _: context::Context,
-        envelope: Envelope,
-        body_bytes: usize,
-    ) -> SlotGrant {
-        match backend::admit_with_body(&self.shared, &envelope, body_bytes).await {
-            Ok(admission) => {
-                let time_left = Duration::from_micros(envelope.time_left_us);
-                let span = reservation::hold_time(body_bytes, time_left);
-                SlotGrant::Held(reservation::hold(&self.shared, admission, span))
-            }
-            Err(refusal) => SlotGrant::Refused(refusal),
-        }
-    }
-
-    async fn run_reserved(
-        self,
-        _: context::Context,
-        slot: SlotId,
-        envelope: Envelope,
-        message: Message,
-    ) -> Answer {
-        match self.shared.reservations.take(slot) {
-            Some(admission) => {
-                backend::run_admitted(&self.shared, envelope, message, admission).await
-            }
-            None => backend::refuse_expired(&self.shared, &envelope),
-        }
-    }
-
-    async fn heartbeat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
-        merge_heartbeat(&self.shared, heartbeat);
-        own_heartbeat(&self.shared)
-    }
-
-    async fn borrow(self, _: context::Context, request: LoanRequest) -> LoanResponse {
-        LoanResponse { granted: self.shared.board.lend(&request.customer) }
-    }
-
-    async fn report_demand(
-        self,
-        _: context::Context,
-        vm: String,
-        report: DemandReport,
-    ) -> OverloadStatus {
-        self.shared.board.record_demand(&vm, report)
-    }
-
-    async fn document(self, _: context::Context, newer_than: u64) -> Option<RawDocument> {
-        let text = self.shared.board.document.load_full()?;
-        (text.version > newer_than).then(|| (*text).clone())
-    }
-
-    async fn roster(self, _: context::Context, newer_than: u64) -> Option<Roster> {
-        let roster = self.shared.board.roster.load_full();
-        (roster.version > newer_than).then(|| (*roster).clone())
-    }
-
-    async fn ping(self, _: context::Context) {}
-}
-
-/// Serves calls from peers until `stop` turns true.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
-        };
-        let Ok((stream, _)) = accepted else { continue };
-        tokio::spawn(serve_connection(Arc::clone(&shared), stream, stop.clone()));
-    }
-}
-
-async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, mut stop: watch::Receiver<bool>) {
-    let accepted =
-        tokio::time::timeout(HEARTBEAT_TIMEOUT, handshake::accept(&shared.keys, stream)).await;
-    let Ok(Ok(frames)) = accepted else { return };
-    let transport = tarpc::serde_transport::new(frames, Postcard);
-    let channel = BaseChannel::with_defaults(transport);
-    let server = Server { shared };
-    let serving = channel.execute(server.serve()).for_each(|answer| async move {
-        tokio::spawn(answer);
-    });
-    tokio::select! {
-        () = serving => {}
-        _ = stop.wait_for(|stop| *stop) => {}
-    }
-}
