Show which document a daemon was told of and what it got for it

New lines: document-reported, document-fetched, feed-lost, and store-read at debug level. New gauges: document_reported_version and document_behind_seconds. No decision is changed.

--- a/src/board.rs
+++ b/src/board.rs
@@ -50,11 +50,13 @@
     pub version: u64,
     /// Control address of a daemon that holds it.
     pub control: SocketAddr,
+    /// When this version was reported first.
+    pub since: Time,
 }
 
 impl Default for Newer {
     fn default() -> Self {
-        Self { version: 0, control: SocketAddr::from(([0, 0, 0, 0], 0)) }
+        Self { version: 0, control: SocketAddr::from(([0, 0, 0, 0], 0)), since: Time::ZERO }
     }
 }
 
@@ -379,6 +381,12 @@
         let load = self.gate.load();
         self.metrics.in_flight.set(i64::from(load.in_flight));
         self.metrics.queued.set(i64::from(load.queued));
+        let reported = *self.newer_document.borrow();
+        let is_behind = reported.version > self.policy.load().version;
+        let behind =
+            if is_behind { self.clock.now().since(reported.since) } else { Duration::ZERO };
+        self.metrics.reported_version.set(reported.version as i64);
+        self.metrics.behind_seconds.set(behind.as_secs_f64());
         self.metrics.render()
     }
 
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -303,7 +303,7 @@
 async fn follow_rosters(shared: &Shared) {
     let mut newer = shared.board.newer_roster.subscribe();
     while newer.changed().await.is_ok() {
-        let Newer { version, control } = *newer.borrow_and_update();
+        let Newer { version, control, .. } = *newer.borrow_and_update();
         // Most daemons rarely send requests to the store; they learn of a new era from the roster.
         shared.store.observe_era(era::of_version(version));
         if version <= shared.board.roster.load().version {
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -15,7 +15,7 @@
 use crate::error::{Error, Result, StoreError};
 use crate::publish::{self, Body, Head};
 use crate::shared::Shared;
-use crate::store::{Client, Row};
+use crate::store::{Client, Row, Rows};
 use crate::time::jitter;
 
 /// Maximum time for which the store holds a feed request without a change. Longer waits need fewer
@@ -139,10 +139,14 @@
     let rows = match *after {
         None => shared.store.scan(format.head).await?,
         Some(version) => match shared.store.feed(format.table(), version, FEED_WAIT).await {
-            Err(StoreError::HistoryGone) => shared.store.scan(format.head).await?,
+            Err(StoreError::HistoryGone) => {
+                tracing::info!(event = "feed-lost", vm = shared.board.settings.vm, after = version);
+                shared.store.scan(format.head).await?
+            }
             other => other?,
         },
     };
+    log_rows(shared, *after, &rows);
     if after.is_some() && era != shared.store.era().number {
         // The feed was continued from a version of an earlier era.
         *after = None;
@@ -166,12 +170,15 @@
 async fn follow_peers(shared: &Shared) {
     let mut newer = shared.board.newer_document.subscribe();
     while newer.changed().await.is_ok() {
-        let Newer { version, control } = *newer.borrow_and_update();
+        let newest = *newer.borrow_and_update();
+        let Newer { version, control, .. } = newest;
         if version <= shared.board.policy.load().version {
             continue;
         }
         let fetch = tokio::time::timeout(FETCH_TIMEOUT, shared.peers.document(shared, control));
-        if let Ok(Some(text)) = fetch.await {
+        let text = fetch.await.ok().flatten();
+        log_fetched(shared, &newest, text.as_ref());
+        if let Some(text) = text {
             install(shared, text);
             continue;
         }
@@ -203,6 +210,30 @@
     }
 }
 
+/// Logs what the store has said about the document.
+fn log_rows(shared: &Shared, after: Option<u64>, rows: &Rows) {
+    tracing::debug!(
+        event = "store-read",
+        vm = shared.board.settings.vm,
+        request = if after.is_some() { "feed" } else { "scan" },
+        after = after.unwrap_or_default(),
+        version = rows.version,
+        rows = rows.rows.len(),
+        unreadable = rows.unreadable.len(),
+    );
+}
+
+/// Logs what a peer that reported a newer version has given for it.
+fn log_fetched(shared: &Shared, reported: &Newer, text: Option<&RawDocument>) {
+    tracing::info!(
+        event = "document-fetched",
+        vm = shared.board.settings.vm,
+        reported = reported.version,
+        control = %reported.control,
+        version = text.map_or(0, |text| text.version),
+    );
+}
+
 fn log_failure(shared: &Shared, error: &Error) {
     shared.board.metrics.platform_failures.inc();
     tracing::debug!(event = "platform-failed", vm = shared.board.settings.vm, %error);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -94,6 +94,10 @@
     pub unreadable_rows: UnreadableCounter,
     /// The version of the document in force.
     pub document_version: Gauge,
+    /// The newest version of the document that a peer has reported.
+    pub reported_version: Gauge,
+    /// Seconds for which a peer has reported a newer version than the one in force; 0 if none has.
+    pub behind_seconds: Gauge<f64, AtomicU64>,
     /// The era of the store that is known here.
     pub store_era: Gauge,
     /// Requests per second that the local backend server takes; infinite while it names no limit.
@@ -133,6 +137,8 @@
             platform_failures: Counter::default(),
             unreadable_rows: UnreadableCounter::default(),
             document_version: Gauge::default(),
+            reported_version: Gauge::default(),
+            behind_seconds: Gauge::default(),
             store_era: Gauge::default(),
             backend_limit: Gauge::default(),
             in_flight: Gauge::default(),
@@ -177,6 +183,16 @@
         let unreadable = self.unreadable_rows.clone();
         registry.register("unreadable_rows", "Rows of the store that cannot be read", unreadable);
         registry.register("document_version", "Document in force", self.document_version.clone());
+        registry.register(
+            "document_reported_version",
+            "Newest document that a peer has reported",
+            self.reported_version.clone(),
+        );
+        registry.register(
+            "document_behind_seconds",
+            "Time for which a newer document than the one in force has been reported",
+            self.behind_seconds.clone(),
+        );
         registry.register("store_era", "Era of the store", self.store_era.clone());
         self.backend_limit.set(f64::INFINITY);
         let limit = self.backend_limit.clone();
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -1,6 +1,5 @@
 //! The state that daemons exchange periodically, and what a daemon takes from it.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -52,7 +51,7 @@
     if !is_valid(&heartbeat.record) {
         return;
     }
-    let control = heartbeat.record.control;
+    let (control, reporter) = (heartbeat.record.control, heartbeat.record.vm.clone());
     let me = &board.settings.vm;
     let rumors = heartbeat.rumors.into_iter().filter(is_valid);
     let records = std::iter::once(heartbeat.record).chain(rumors);
@@ -74,9 +73,14 @@
     if current {
         board.confirm(board.clock.now() - Duration::from_millis(u64::from(heartbeat.age_ms)));
     }
-    update_newest(&board.newer_document, heartbeat.document, control);
+    let now = board.clock.now();
+    let document = Newer { version: heartbeat.document, control, since: now };
+    if update_newest(&board.newer_document, document) {
+        let (vm, version) = (&board.settings.vm, document.version);
+        tracing::info!(event = "document-reported", vm, version, by = reporter, %control);
+    }
     board.mark_introduced();
-    update_newest(&board.newer_roster, heartbeat.roster, control);
+    update_newest(&board.newer_roster, Newer { version: heartbeat.roster, ..document });
 }
 
 /// Whether a record of a heartbeat names a VM. One that does not is logged, a few times a second at most.
@@ -90,12 +94,13 @@
     false
 }
 
-fn update_newest(newer: &watch::Sender<Newer>, version: u64, control: SocketAddr) {
+/// Records a report if it is of a newer version than all before, and returns whether it is.
+fn update_newest(newer: &watch::Sender<Newer>, report: Newer) -> bool {
     newer.send_if_modified(|newest| {
-        let newer = version > newest.version;
-        if newer {
-            *newest = Newer { version, control };
+        let is_newer = report.version > newest.version;
+        if is_newer {
+            *newest = report;
         }
-        newer
-    });
+        is_newer
+    })
 }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -45,7 +45,8 @@
     let board = fleet.nodes[0].daemon.board();
     let version = board.policy.load().version + 1;
     let control = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-    board.newer_document.send_replace(Newer { version, control });
+    let since = board.clock.now();
+    board.newer_document.send_replace(Newer { version, control, since });
     until("the reported version is forgotten", || board.newer_document.borrow().version < version)
         .await;
 }
