Keep a report of a newer version until that version is held

Cause: a daemon that hears of a newer version asks the daemon that reported it. Any answer counted as that version, also an older text or one that was refused, and the report was used up by it: the version stayed recorded as the newest, so later reports of it, by anyone, woke nobody. A failed fetch reset the record instead, and then a starting daemon found nothing newer than its own document and served it at once. Rosters were fetched in the same way; there a store that had no newer one used the report up as well.

Evidence: a_reported_document_is_fetched_again_after_an_older_one_came fails on ("never: the reported one is in force", 20 s), and so does a_roster_that_could_not_be_fetched_is_requested_again (asked once in 20 s).

Change: a report (src/reported.rs) stands until its version or a newer one is held. The test of a failed fetch, which checked that the report was forgotten, now checks that the daemon asks three times without a further report.

Class of fault: an answer to a question counts as the one that was wanted without a look at what it says.

--- a/src/board.rs
+++ b/src/board.rs
@@ -6,13 +6,12 @@
 
 mod in_flight;
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 pub use self::in_flight::InFlight;
 use crate::allowance;
@@ -30,6 +29,7 @@
 use crate::notices::Noticed;
 use crate::overload::OverloadController;
 use crate::quarantine::Quarantine;
+use crate::reported::NewestReport;
 use crate::roster::Roster;
 use crate::runs::Runs;
 use crate::settings::Settings;
@@ -43,23 +43,6 @@
 /// peer that does not answer within one round of heartbeats is unreachable.
 const PEER_VERSION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// The source of a document or roster that is newer than the local one.
-#[derive(Debug, Clone, Copy)]
-pub struct Newer {
-    /// Its version.
-    pub version: u64,
-    /// Control address of a daemon that holds it.
-    pub control: SocketAddr,
-    /// When this version was reported first.
-    pub since: Time,
-}
-
-impl Default for Newer {
-    fn default() -> Self {
-        Self { version: 0, control: SocketAddr::from(([0, 0, 0, 0], 0)), since: Time::ZERO }
-    }
-}
-
 /// All state that the tasks of one daemon share.
 #[derive(Debug)]
 pub struct Board {
@@ -111,9 +94,9 @@
     /// Notified when a change should reach other daemons at once, ahead of the next heartbeat.
     pub heartbeat_due: Notify,
     /// The newest document that a peer has reported.
-    pub newer_document: watch::Sender<Newer>,
+    pub newest_document: NewestReport,
     /// The newest roster that a peer has reported.
-    pub newer_roster: watch::Sender<Newer>,
+    pub newest_roster: NewestReport,
     /// The most recent refusals and waits.
     pub journal: Journal,
     /// Counters and gauges.
@@ -179,8 +162,8 @@
             log_sampler: Sampler::default(),
             timings: Timings::default(),
             heartbeat_due: Notify::new(),
-            newer_document: watch::Sender::default(),
-            newer_roster: watch::Sender::default(),
+            newest_document: NewestReport::default(),
+            newest_roster: NewestReport::default(),
             journal: Journal::default(),
             metrics: Metrics::new(),
             incarnation,
@@ -342,8 +325,8 @@
         }
         let now = self.clock.now();
         let since = self.has_document.fetch_min(now.as_micros(), Ordering::AcqRel);
-        let heard = self.introduced.load(Ordering::Acquire)
-            && self.newer_document.borrow().version <= version;
+        let heard =
+            self.introduced.load(Ordering::Acquire) && self.newest_document.version() <= version;
         let alone = self.scanned.load(Ordering::Acquire) && self.read_view(View::len) <= 1;
         let waited = now.since(Time::from_micros(since)) >= PEER_VERSION_TIMEOUT;
         let current = heard || alone || waited;
@@ -364,28 +347,15 @@
         self.scanned.store(true, Ordering::Release);
     }
 
-    /// Resets the source of a version that could not be fetched, so that the next report of that version
-    /// is used.
-    pub fn forget_newer(&self, newer: &watch::Sender<Newer>, version: u64) {
-        tracing::info!(event = "newer-unfetched", vm = self.settings.vm, version);
-        newer.send_if_modified(|newest| {
-            if newest.version == version {
-                newest.version = 0;
-            }
-            false
-        });
-    }
-
     /// Returns all metrics in the Prometheus text format.
     pub fn render_metrics(&self) -> String {
         let load = self.gate.load();
         self.metrics.in_flight.set(i64::from(load.in_flight));
         self.metrics.queued.set(i64::from(load.queued));
-        let reported = *self.newer_document.borrow();
-        let is_behind = reported.version > self.policy.load().version;
-        let behind =
-            if is_behind { self.clock.now().since(reported.since) } else { Duration::ZERO };
-        self.metrics.reported_version.set(reported.version as i64);
+        let version = self.policy.load().version;
+        let behind = self.newest_document.get().filter(|report| report.version > version);
+        let behind = behind.map_or(Duration::ZERO, |report| self.clock.now().since(report.since));
+        self.metrics.reported_version.set(self.newest_document.version() as i64);
         self.metrics.behind_seconds.set(behind.as_secs_f64());
         self.metrics.render()
     }
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -7,12 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::board::{Board, Newer};
+use crate::board::Board;
 use crate::era;
 use crate::error::StoreError;
 use crate::log::LOG_INTERVAL;
 use crate::member::{Record, View};
 use crate::overload::DemandReport;
+use crate::reported::Report;
 use crate::roster::{self, Members, Roster};
 use crate::shared::Shared;
 use crate::store::{Commit, Row, Transaction};
@@ -298,26 +299,27 @@
     tokio::join!(follow_rosters(&shared), keep_roster(&shared));
 }
 
-/// Fetches a newer roster from the daemon that reported it, or from the store when that daemon does not
-/// answer.
+/// Fetches newer rosters from the daemons that report them.
 async fn follow_rosters(shared: &Shared) {
-    let mut newer = shared.board.newer_roster.subscribe();
-    while newer.changed().await.is_ok() {
-        let Newer { version, control, .. } = *newer.borrow_and_update();
-        // Most daemons rarely send requests to the store; they learn of a new era from the roster.
-        shared.store.observe_era(era::of_version(version));
-        if version <= shared.board.roster.load().version {
-            continue;
-        }
-        match shared.peers.roster(shared, control).await {
-            Some(roster) => drop(shared.board.install_roster(roster)),
-            None => {
-                if let Err(error) = read_roster(shared).await {
-                    record_failure(shared, &error);
-                    shared.board.forget_newer(&shared.board.newer_roster, version);
-                }
-            }
-        }
+    let mut reports = shared.board.newest_roster.follow();
+    loop {
+        let report = reports.next(|| shared.board.roster.load().version).await;
+        fetch_roster(shared, &report).await;
+    }
+}
+
+/// Fetches a roster from the daemon that reported it, and from the store if it does not come from there.
+async fn fetch_roster(shared: &Shared, report: &Report) {
+    let board = &shared.board;
+    // Most daemons rarely send requests to the store; they learn of a new era from the roster.
+    shared.store.observe_era(era::of_version(report.version));
+    if let Some(roster) = shared.peers.roster(shared, report.control).await {
+        board.install_roster(roster);
+    }
+    if report.version > board.roster.load().version
+        && let Err(error) = read_roster(shared).await
+    {
+        record_failure(shared, &error);
     }
 }
 
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -10,10 +10,10 @@
 
 use futures::future::BoxFuture;
 
-use crate::board::Newer;
 use crate::document::{Document, Policy, RawDocument};
 use crate::error::{Error, Result, StoreError};
 use crate::publish::{self, Body, Head};
+use crate::reported::Report;
 use crate::shared::Shared;
 use crate::store::{Client, Row, Rows};
 use crate::time::jitter;
@@ -168,26 +168,25 @@
 }
 
 async fn follow_peers(shared: &Shared) {
-    let mut newer = shared.board.newer_document.subscribe();
-    while newer.changed().await.is_ok() {
-        let newest = *newer.borrow_and_update();
-        let Newer { version, control, .. } = newest;
-        if version <= shared.board.policy.load().version {
-            continue;
-        }
-        let fetch = tokio::time::timeout(FETCH_TIMEOUT, shared.peers.document(shared, control));
-        let text = fetch.await.ok().flatten();
-        log_fetched(shared, &newest, text.as_ref());
-        if let Some(text) = text {
-            install(shared, text);
-            continue;
-        }
-        // Falls back to the store. The version is forgotten, so that the next peer that reports it is
-        // asked.
-        shared.board.forget_newer(&shared.board.newer_document, version);
-        if let Err(error) = poll_store(shared, &mut None).await {
-            log_failure(shared, &error);
-        }
+    let mut reports = shared.board.newest_document.follow();
+    loop {
+        let report = reports.next(|| shared.board.policy.load().version).await;
+        fetch_reported(shared, &report).await;
+    }
+}
+
+/// Fetches a document from the peer that reported it, and from the store if it does not come from there.
+async fn fetch_reported(shared: &Shared, report: &Report) {
+    let fetch = shared.peers.document(shared, report.control);
+    let text = tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok().flatten();
+    log_fetched(shared, report, text.as_ref());
+    if let Some(text) = text {
+        install(shared, text);
+    }
+    if report.version > shared.board.policy.load().version
+        && let Err(error) = poll_store(shared, &mut None).await
+    {
+        log_failure(shared, &error);
     }
 }
 
@@ -224,12 +223,12 @@
 }
 
 /// Logs what a peer that reported a newer version has given for it.
-fn log_fetched(shared: &Shared, reported: &Newer, text: Option<&RawDocument>) {
+fn log_fetched(shared: &Shared, report: &Report, text: Option<&RawDocument>) {
     tracing::info!(
         event = "document-fetched",
         vm = shared.board.settings.vm,
-        reported = reported.version,
-        control = %reported.control,
+        reported = report.version,
+        control = %report.control,
         version = text.map_or(0, |text| text.version),
     );
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod reason;
 pub mod recall;
 pub mod reload;
+pub mod reported;
 pub mod reservation;
 pub mod retry;
 pub mod returns;
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
 
-use crate::board::Newer;
 use crate::member::Record;
 use crate::quarantine::SuspectReport;
+use crate::reported::Report;
 use crate::shared::Shared;
 use crate::sync::lock;
 
@@ -74,13 +73,13 @@
         board.confirm(board.clock.now() - Duration::from_millis(u64::from(heartbeat.age_ms)));
     }
     let now = board.clock.now();
-    let document = Newer { version: heartbeat.document, control, since: now };
-    if update_newest(&board.newer_document, document) {
+    let document = Report { version: heartbeat.document, control, since: now };
+    if board.newest_document.record(document) {
         let (vm, version) = (&board.settings.vm, document.version);
         tracing::info!(event = "document-reported", vm, version, by = reporter, %control);
     }
     board.mark_introduced();
-    update_newest(&board.newer_roster, Newer { version: heartbeat.roster, ..document });
+    board.newest_roster.record(Report { version: heartbeat.roster, ..document });
 }
 
 /// Whether a record of a heartbeat names a VM. One that does not is logged, a few times a second at most.
@@ -93,14 +92,3 @@
     }
     false
 }
-
-/// Records a report if it is of a newer version than all before, and returns whether it is.
-fn update_newest(newer: &watch::Sender<Newer>, report: Newer) -> bool {
-    newer.send_if_modified(|newest| {
-        let is_newer = report.version > newest.version;
-        if is_newer {
-            *newest = report;
-        }
-        is_newer
-    })
-}
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -2,12 +2,14 @@
 
 mod fleet;
 
-use fleet::{Fleet, document, edit, plan, settings_text, until};
-use gypsumtack::board::Newer;
+use fleet::{CONDITION_TIMEOUT, Fleet, document, edit, plan, settings_text, until};
 use gypsumtack::member::Record;
 use gypsumtack::publish::{self, Scope};
+use gypsumtack::reported::{NewestReport, Report};
 use gypsumtack::store::Transaction;
+use gypsumtack::time::Time;
 use gypsumtack::{Daemon, Settings};
+use tokio::net::TcpListener;
 
 /// Guards against serving an outdated document: the store that the new daemon reads holds the record of
 /// the other daemon, but still the document from before the last edit.
@@ -36,17 +38,57 @@
     daemon.stop().await;
 }
 
-/// Guards against a newer version that is never fetched. The daemon that reported it does not answer,
-/// so the version has to be forgotten; only then is the next report of it followed.
+/// Guards against a newer version that is never fetched, since a fetch for it brought an older one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reported_document_is_fetched_again_after_an_older_one_came() {
+    let mut behind = Fleet::start(&document()).await;
+    behind.add("a", plan("deep", 8, 1, &[])).await;
+    let mut ahead = Fleet::start(&document()).await;
+    let text = settings_text("vm-1", "b", ahead.platform.address());
+    ahead.add_with(Settings::parse(&text, "test").unwrap(), plan("deep", 8, 1, &[])).await;
+    let (late, peer) = (behind.nodes[0].daemon.board(), ahead.nodes[0].daemon.board());
+    let publish = async |version, queue_ms| {
+        let scope = Scope::Section { name: "limits".into(), expect: version - 1 };
+        let text = format!("[limits]\nqueue_ms = {queue_ms}\n");
+        publish::apply(&ahead.client(), &edit(&text, scope)).await.unwrap();
+        until("the peer has it", || peer.policy.load().version == version).await;
+    };
+    publish(2, 900).await;
+    let (control, since) = (peer.settings.listen.control, late.clock.now());
+    late.newest_document.record(Report { version: 3, control, since });
+    until("the older one came", || late.policy.load().version == 2).await;
+    late.update_view(|view, now| view.merge(peer.record(), now));
+    publish(3, 800).await;
+    until("the reported one is in force", || late.policy.load().version == 3).await;
+}
+
+/// Reports a version of a document or a roster in the name of a daemon that never answers, and waits until
+/// that one has been asked repeatedly.
+async fn assert_asked_again(newest: &NewestReport, version: u64) {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let control = silent.local_addr().unwrap();
+    newest.record(Report { version, control, since: Time::ZERO });
+    let asked = async {
+        for _ in 0..3 {
+            drop(silent.accept().await.unwrap());
+        }
+    };
+    tokio::time::timeout(CONDITION_TIMEOUT, asked).await.expect("asked three times");
+}
+
+/// Guards against a newer version that is never fetched, since the daemon that reported it did not answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_document_that_could_not_be_fetched_is_requested_again() {
     let mut fleet = Fleet::start(&document()).await;
     fleet.add("a", plan("deep", 8, 1, &[])).await;
     let board = fleet.nodes[0].daemon.board();
-    let version = board.policy.load().version + 1;
-    let control = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-    let since = board.clock.now();
-    board.newer_document.send_replace(Newer { version, control, since });
-    until("the reported version is forgotten", || board.newer_document.borrow().version < version)
-        .await;
+    assert_asked_again(&board.newest_document, board.policy.load().version + 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_roster_that_could_not_be_fetched_is_requested_again() {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    let board = fleet.nodes[0].daemon.board();
+    assert_asked_again(&board.newest_roster, board.roster.load().version + 10).await;
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -25,7 +25,7 @@
 use tokio::net::TcpListener;
 
 /// Maximum time that a test waits for a condition before it fails.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
+pub const CONDITION_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// One VM of the fleet.
 pub struct Node {
