Hold the text of a document before its version is reported

What callers saw: nothing by itself; with the fault before it, a daemon that stayed on the older document.

Cause: Board::install put the version in force and had heartbeats sent, and only then did feed::install store the text that peers fetch. With several threads, a peer that asked in between was given the text of the version before.

Evidence: the_text_of_each_version_in_force_can_be_fetched fails on: "version 2 in force, text of 1".

Change: Board::install takes the text and stores it first.

--- a/src/board.rs
+++ b/src/board.rs
@@ -187,7 +187,7 @@
 
     /// Puts a document in force and returns whether it did. A version that is not higher than the
     /// current one is ignored, so that an old document never returns.
-    pub fn install(&self, policy: Policy) -> bool {
+    pub fn install(&self, policy: Policy, text: RawDocument) -> bool {
         if policy.version <= self.policy.load().version {
             return false;
         }
@@ -195,6 +195,8 @@
         let tables = self.tables.load().follow(&policy, now);
         self.gate.set_longest_wait(Duration::from_millis(policy.limits.queue_ms));
         self.metrics.document_version.set(policy.version as i64);
+        // Before the version is reported to peers, which then fetch the text.
+        self.document.store(Some(Arc::new(text)));
         self.tables.store(Arc::new(tables));
         self.policy.store(Arc::new(policy));
         self.update_shares();
--- a/src/feed.rs
+++ b/src/feed.rs
@@ -203,8 +203,7 @@
         }
     };
     let version = text.version;
-    if board.install(policy) {
-        board.document.store(Some(Arc::new(text)));
+    if board.install(policy, text) {
         tracing::info!(event = "document-in-force", vm = board.settings.vm, version);
     }
 }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -2,6 +2,9 @@
 
 mod fleet;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use fleet::{CONDITION_TIMEOUT, Fleet, document, edit, plan, settings_text, until};
 use gypsumtack::member::Record;
 use gypsumtack::publish::{self, Scope};
@@ -62,6 +65,33 @@
     until("the reported one is in force", || late.policy.load().version == 3).await;
 }
 
+/// Guards against a daemon that reports a version and then gives the text of the one before.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_text_of_each_version_in_force_can_be_fetched() {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    let board = fleet.nodes[0].daemon.board();
+    let over = Arc::new(AtomicBool::new(false));
+    let watching = std::thread::spawn({
+        let (board, over) = (Arc::clone(board), Arc::clone(&over));
+        move || {
+            while !over.load(Ordering::Relaxed) {
+                let version = board.policy.load().version;
+                let text = board.document.load().as_ref().map_or(0, |text| text.version);
+                assert!(text >= version, "version {version} in force, text of {text}");
+            }
+        }
+    });
+    for version in 2..22 {
+        let scope = Scope::Section { name: "limits".into(), expect: version - 1 };
+        let text = format!("[limits]\nqueue_ms = {}\n", 900 + version);
+        publish::apply(&fleet.client(), &edit(&text, scope)).await.unwrap();
+        until("it is in force", || board.policy.load().version == version).await;
+    }
+    over.store(true, Ordering::Relaxed);
+    watching.join().unwrap();
+}
+
 /// Reports a version of a document or a roster in the name of a daemon that never answers, and waits until
 /// that one has been asked repeatedly.
 async fn assert_asked_again(newest: &NewestReport, version: u64) {
