Read again what the store has said and could not be used

What callers saw: requests handled by an older document for as long as no further version came (CONFIG).

Cause: after an answer whose row could not be read or compiled, the reader moved its position past it and recorded the store's confirmation of the document in force. That version was not read again, and the daemons that rely on the confirmation did not read the store either. A scan that lagged behind the document in force counted as a confirmation as well.

The stand-in of the store gets faults for it: spoilt values, feeds that hear nothing, stale reads.

Change: src/feed/reader.rs says of each row whether it is in force, outdated or invalid. What is not in force confirms nothing and is scanned again, until the same row has come so often that it is what the store holds.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -4,25 +4,23 @@
 //! at once. A daemon that learns of a newer version from a peer fetches it from that peer. Only higher
 //! versions are installed, so an older version never returns. docs/DESIGN.md, "Document".
 
+mod reader;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 
+use self::reader::Reader;
 use crate::document::{Document, Policy, RawDocument};
 use crate::error::{Error, Result, StoreError};
 use crate::publish::{self, Body, Head};
 use crate::reported::Report;
 use crate::shared::Shared;
-use crate::store::{Client, Row, Rows};
+use crate::store::{Client, Row};
 use crate::time::jitter;
 
-/// Maximum time for which the store holds a feed request without a change. Longer waits need fewer
-/// store requests; shorter ones detect a silent connection sooner and confirm the document in force
-/// more often.
-const FEED_WAIT: Duration = Duration::from_millis(2_500);
-
 /// Number of daemons per failure domain that follow the store on behalf of the domain. With two, one
 /// continues without a gap when the store refuses the other.
 const MAX_READERS: usize = 2;
@@ -94,22 +92,23 @@
 }
 
 async fn follow_store(shared: &Shared) {
-    let mut after = None;
-    let mut era = shared.store.era().number;
+    let mut reader = Reader::default();
     loop {
-        // Versions of an earlier era order nothing in this one, so the rows are read anew.
-        if era != shared.store.era().number {
-            era = shared.store.era().number;
-            after = None;
-        }
-        if after.is_some() && !reads_store(shared) {
-            tokio::time::sleep(jitter(CHECK_INTERVAL)).await;
-            continue;
-        }
-        if let Err(error) = poll_store(shared, &mut after).await {
-            log_failure(shared, &error);
-            tokio::time::sleep(jitter(RETRY_PAUSE)).await;
-        }
+        let read = async {
+            if reader.needs_scan(shared) {
+                reader.scan(shared).await?;
+            }
+            if reads_store(shared) { reader.feed(shared).await } else { Ok(()) }
+        };
+        let pause = match read.await {
+            Ok(()) if reads_store(shared) => Duration::ZERO,
+            Ok(()) => CHECK_INTERVAL,
+            Err(error) => {
+                log_failure(shared, &error);
+                RETRY_PAUSE
+            }
+        };
+        tokio::time::sleep(jitter(pause)).await;
     }
 }
 
@@ -130,43 +129,6 @@
     })
 }
 
-/// Reads the head row if `after` is `None` and waits for a change of its table otherwise, then installs
-/// the document that it names.
-async fn poll_store(shared: &Shared, after: &mut Option<u64>) -> Result<()> {
-    let format = shared.format;
-    let sent = shared.board.clock.now();
-    let era = shared.store.era().number;
-    let rows = match *after {
-        None => shared.store.scan(format.head).await?,
-        Some(version) => match shared.store.feed(format.table(), version, FEED_WAIT).await {
-            Err(StoreError::HistoryGone) => {
-                tracing::info!(event = "feed-lost", vm = shared.board.settings.vm, after = version);
-                shared.store.scan(format.head).await?
-            }
-            other => other?,
-        },
-    };
-    log_rows(shared, *after, &rows);
-    if after.is_some() && era != shared.store.era().number {
-        // The feed was continued from a version of an earlier era.
-        *after = None;
-        return Ok(());
-    }
-    if let Some(row) = rows.rows.iter().rev().find(|row| row.key == format.head) {
-        match (format.fetch)(&shared.store, row).await {
-            Ok(text) => install(shared, text),
-            Err(error @ Error::Platform(_)) => return Err(error),
-            Err(error) => tracing::warn!(event = "document-unreadable", row = row.version, %error),
-        }
-    }
-    *after = Some(rows.version);
-    // A feed that returns no change confirms the document until the end of its wait.
-    let waited = if rows.rows.is_empty() { FEED_WAIT } else { Duration::ZERO };
-    let board = &shared.board;
-    board.confirm((sent + waited).min(board.clock.now()));
-    Ok(())
-}
-
 async fn follow_peers(shared: &Shared) {
     let mut reports = shared.board.newest_document.follow();
     loop {
@@ -184,41 +146,65 @@
         install(shared, text);
     }
     if report.version > shared.board.policy.load().version
-        && let Err(error) = poll_store(shared, &mut None).await
+        && let Err(error) = Reader::default().scan(shared).await
     {
         log_failure(shared, &error);
     }
 }
 
-fn install(shared: &Shared, text: RawDocument) {
+/// What became of a document that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Acceptance {
+    /// It is in force.
+    InForce,
+    /// A newer one is in force.
+    Outdated,
+    /// It cannot be read or compiled.
+    Invalid,
+}
+
+/// Fetches the document that a head row names, and puts it in force.
+async fn accept(shared: &Shared, row: &Row) -> Result<Acceptance> {
+    match (shared.format.fetch)(&shared.store, row).await {
+        Ok(text) => Ok(install(shared, text)),
+        Err(error @ Error::Platform(_)) => Err(error),
+        Err(error) => {
+            if let Some(weight) = weigh(shared, "document-unreadable") {
+                tracing::warn!(event = "document-unreadable", weight, row = row.version, %error);
+            }
+            Ok(Acceptance::Invalid)
+        }
+    }
+}
+
+fn install(shared: &Shared, text: RawDocument) -> Acceptance {
     let board = &shared.board;
-    if text.version <= board.policy.load().version {
-        return;
+    let (version, in_force) = (text.version, board.policy.load());
+    if version <= in_force.version {
+        return if version == in_force.version {
+            Acceptance::InForce
+        } else {
+            Acceptance::Outdated
+        };
     }
-    let policy = match (shared.format.compile)(&text, &board.policy.load()) {
+    let policy = match (shared.format.compile)(&text, &in_force) {
         Ok(policy) => policy,
         Err(error) => {
-            let version = text.version;
-            return tracing::error!(event = "document-rejected", version, %error);
+            if let Some(weight) = weigh(shared, "document-rejected") {
+                tracing::error!(event = "document-rejected", weight, version, %error);
+            }
+            return Acceptance::Invalid;
         }
     };
-    let version = text.version;
     if board.install(policy, text) {
         tracing::info!(event = "document-in-force", vm = board.settings.vm, version);
     }
+    Acceptance::InForce
 }
 
-/// Logs what the store has said about the document.
-fn log_rows(shared: &Shared, after: Option<u64>, rows: &Rows) {
-    tracing::debug!(
-        event = "store-read",
-        vm = shared.board.settings.vm,
-        request = if after.is_some() { "feed" } else { "scan" },
-        after = after.unwrap_or_default(),
-        version = rows.version,
-        rows = rows.rows.len(),
-        unreadable = rows.unreadable.len(),
-    );
+/// Returns how many events of this kind a log line represents, or `None` if it is to be left out.
+fn weigh(shared: &Shared, kind: &'static str) -> Option<u64> {
+    shared.board.log_sampler.weigh(kind, shared.board.clock.now())
 }
 
 /// Logs what a peer that reported a newer version has given for it.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -40,6 +40,13 @@
     pub lose_answers: f64,
     /// Feeds answer with status 410: the changes are no longer known.
     pub forget: bool,
+    /// Feeds report no changes, though their answers name the newest commit.
+    pub deaf: bool,
+    /// Reads and scans return the rows as they were when this fault began, though their answers name the
+    /// newest commit.
+    pub stale: bool,
+    /// The values of rows are spoilt in answers.
+    pub spoil: bool,
 }
 
 /// Numbers of requests that the platform received, by kind.
@@ -64,6 +71,8 @@
     table: Table,
     objects: BTreeMap<String, Bytes>,
     faults: Faults,
+    /// The table when reads became stale.
+    stale: Table,
     usage: Usage,
     rng: SmallRng,
     committed: watch::Sender<u64>,
@@ -94,6 +103,7 @@
             table: Table::default(),
             objects: BTreeMap::new(),
             faults: Faults::default(),
+            stale: Table::default(),
             usage: Usage::default(),
             rng: SmallRng::seed_from_u64(seed),
             committed: watch::Sender::default(),
@@ -115,7 +125,7 @@
 
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: Faults) {
-        lock(&self.state).faults = faults;
+        lock(&self.state).set_faults(faults);
     }
 
     /// Returns the usage since the start.
@@ -192,7 +202,7 @@
     let mut committed = lock(state).committed.subscribe();
     let changed = async {
         loop {
-            let changes = lock(state).table.changes(&table, after);
+            let changes = lock(state).changes(&table, after);
             if !changes.rows.is_empty() || !changes.deleted.is_empty() {
                 return changes;
             }
@@ -210,14 +220,14 @@
     if state.faults.forget || after > state.table.commits() {
         return respond(StatusCode::GONE, Bytes::new());
     }
-    let changes = changes.unwrap_or_else(|_| state.table.changes(&table, after));
+    let changes = changes.unwrap_or_else(|_| state.changes(&table, after));
     state.respond_rows(&table, &changes)
 }
 
 fn set_faults(state: &Mutex<State>, body: &[u8]) -> Response {
     match serde_json::from_slice(body) {
         Ok(faults) => {
-            lock(state).faults = faults;
+            lock(state).set_faults(faults);
             respond(StatusCode::OK, Bytes::new())
         }
         Err(error) => respond(StatusCode::BAD_REQUEST, error.to_string().into()),
@@ -225,6 +235,31 @@
 }
 
 impl State {
+    fn set_faults(&mut self, faults: Faults) {
+        if faults.stale && !self.faults.stale {
+            self.stale = self.table.clone();
+        }
+        self.faults = faults;
+    }
+
+    /// Returns the changes that a feed reports.
+    fn changes(&self, table: &str, after: u64) -> Rows {
+        let changes = self.table.changes(table, after);
+        if self.faults.deaf { self.rows(Vec::new()) } else { self.spoil(changes) }
+    }
+
+    fn spoil(&self, mut rows: Rows) -> Rows {
+        if self.faults.spoil {
+            rows.rows.iter_mut().for_each(|row| row.value = Bytes::from_static(b"spoilt"));
+        }
+        rows
+    }
+
+    /// Returns the table as reads show it.
+    fn shown(&self) -> &Table {
+        if self.faults.stale { &self.stale } else { &self.table }
+    }
+
     fn execute(&mut self, method: &Method, path: &str, body: &Bytes) -> (Response, bool) {
         match (method.as_str(), path) {
             ("POST", "/table/commit") => (self.commit(body), true),
@@ -256,14 +291,14 @@
     fn read(&mut self, body: &[u8]) -> Response {
         self.usage.reads += 1;
         let Ok(read) = serde_json::from_slice::<Read>(body) else { return reject() };
-        let rows = read.keys.iter().filter_map(|key| self.table.row(key)).cloned();
+        let rows = read.keys.iter().filter_map(|key| self.shown().row(key)).cloned();
         json(&self.rows(rows.collect()))
     }
 
     fn scan(&mut self, body: &[u8]) -> Response {
         self.usage.reads += 1;
         let Ok(scan) = serde_json::from_slice::<Scan>(body) else { return reject() };
-        let rows = self.table.scan(&scan.prefix).filter(|row| row.version > scan.after);
+        let rows = self.shown().scan(&scan.prefix).filter(|row| row.version > scan.after);
         let later = |row: &&Row| scan.from.as_ref().is_none_or(|from| row.key > *from);
         let rows = self.rows(rows.filter(later).cloned().collect());
         self.respond_rows(&scan.prefix, &rows)
@@ -280,7 +315,7 @@
     }
 
     fn rows(&self, rows: Vec<Row>) -> Rows {
-        Rows { rows, version: self.table.commits(), ..Rows::default() }
+        self.spoil(Rows { rows, version: self.table.commits(), ..Rows::default() })
     }
 }
 
--- /dev/null
+++ b/tests/following.rs
@@ -0,0 +1,82 @@
+//! How daemons follow the document through a store that is silent, lags behind or spoils its answers.
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, document, edit, plan, until};
+use futures::future::BoxFuture;
+use gypsumtack::document::RawDocument;
+use gypsumtack::error::{Invalid, Result};
+use gypsumtack::feed::Format;
+use gypsumtack::publish::{self, Head, Scope};
+use gypsumtack::store::{Client, Row};
+use gypsumtack_standin::platform::Faults;
+
+/// Time for which a fault of the store lasts: longer than a daemon goes without reading.
+const PHASE: Duration = Duration::from_secs(3);
+
+async fn start_fleet() -> Fleet {
+    let mut fleet = Fleet::start(&document()).await;
+    fleet.adapter.format = Format { fetch: fetch_readable, ..Format::OWN };
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    fleet
+}
+
+/// Fetches a document like [`Format::OWN`], but takes a row that cannot be read for an invalid document, as
+/// formats do whose rows hold the whole text.
+fn fetch_readable<'a>(store: &'a Client, row: &'a Row) -> BoxFuture<'a, Result<RawDocument>> {
+    if row.decode::<Head>().is_some() {
+        return (Format::OWN.fetch)(store, row);
+    }
+    let invalid = Invalid {
+        origin: row.key.clone(),
+        line: None,
+        key: String::new(),
+        problem: "the row cannot be read".to_owned(),
+        remedy: "write it again".to_owned(),
+    };
+    Box::pin(std::future::ready(Err(invalid.into())))
+}
+
+/// Publishes another version while the store has `faults`, and returns it.
+async fn publish_during(fleet: &Fleet, faults: Faults) -> u64 {
+    let store = fleet.client();
+    let (head, body) = publish::read(&store).await.unwrap();
+    let revision = body.as_ref().unwrap().version;
+    let scope = Scope::Section { name: "limits".into(), expect: revision };
+    let edit = edit(&format!("[limits]\nqueue_ms = {}\n", 900 + revision), scope);
+    let prepared = edit.prepare(head.as_ref(), body.as_ref()).unwrap();
+    let bytes = serde_json::to_vec(&prepared.body).unwrap();
+    store.put_object(&prepared.object, &bytes.into()).await.unwrap();
+    fleet.platform.set_faults(faults);
+    store.commit(&prepared.transaction).await.unwrap();
+    prepared.body.version
+}
+
+async fn until_in_force(fleet: &Fleet, version: u64) {
+    let board = fleet.nodes[0].daemon.board();
+    until("the new document is in force", || board.policy.load().version == version).await;
+}
+
+/// Guards against an answer that was spoilt on its way and is not read again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_whose_answer_was_spoilt_is_read_again() {
+    let fleet = start_fleet().await;
+    let version = publish_during(&fleet, Faults { spoil: true, ..Faults::default() }).await;
+    tokio::time::sleep(PHASE / 2).await;
+    fleet.platform.set_faults(Faults::default());
+    until_in_force(&fleet, version).await;
+}
+
+/// Guards against a daemon that reads an invalid document forever instead of following the feed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_that_stays_invalid_confirms_the_one_in_force() {
+    let fleet = start_fleet().await;
+    let board = fleet.nodes[0].daemon.board();
+    let in_force = board.policy.load().version;
+    publish_during(&fleet, Faults { spoil: true, ..Faults::default() }).await;
+    let before = board.clock.now();
+    until("the document in force is confirmed", || board.confirmed() > before + PHASE).await;
+    assert_eq!(board.policy.load().version, in_force);
+}
