Learn of a change of the document in two ways

What callers saw: requests handled by an older document for seconds, or for as long as no further version came, although the daemons were connected to the store (CONFIG).

Cause: all daemons that read the store did so by its feed. A feed that is silent while a change is made, or a scan of an older state before a feed that continues after the change, hides that change from all of them alike. A connection that goes silent was noticed after 2.5 s of waiting and the time-out of 1 s, by all readers at the same time, while a change has 2 s and a daemon is in touch again after 3 s. Daemons that were frozen counted as readers for 2 s after they were first missed.

Change: of the two readers of a failure domain the first follows the feed and the second scans each second; one that is alone does both, and so does a daemon whose last confirmation is 4 s old (6 s before). Suspects do not count as readers. The feed waits 1 s instead of 2.5 s.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -4,6 +4,7 @@
 //! at once. A daemon that learns of a newer version from a peer fetches it from that peer. Only higher
 //! versions are installed, so an older version never returns. docs/DESIGN.md, "Document".
 
+pub mod duty;
 mod reader;
 
 use std::fmt;
@@ -12,6 +13,7 @@
 
 use futures::future::BoxFuture;
 
+use self::duty::Duty;
 use self::reader::Reader;
 use crate::document::{Document, Policy, RawDocument};
 use crate::error::{Error, Result, StoreError};
@@ -21,17 +23,12 @@
 use crate::store::{Client, Row};
 use crate::time::jitter;
 
-/// Number of daemons per failure domain that follow the store on behalf of the domain. With two, one
-/// continues without a gap when the store refuses the other.
-const MAX_READERS: usize = 2;
-
-/// Age of the store's last confirmation above which a daemon reads the store itself. Heartbeats pass a
-/// confirmation on within one or two rounds.
-const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(6);
-
 /// Interval at which a daemon that relies on its peers checks whether it has to read the store itself.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Mean interval between scans of a daemon that does not follow the feed.
+const SCAN_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Timeout for fetching a document from a peer, after which the store is read instead. The largest
 /// documents take a tenth of that. With a longer timeout, a peer that froze after it had announced a
 /// version delayed the daemons that fetched from it by seconds.
@@ -94,14 +91,19 @@
 async fn follow_store(shared: &Shared) {
     let mut reader = Reader::default();
     loop {
+        let duty = Duty::own(&shared.board);
         let read = async {
-            if reader.needs_scan(shared) {
+            if duty.scan || reader.needs_scan(shared) {
                 reader.scan(shared).await?;
             }
-            if reads_store(shared) { reader.feed(shared).await } else { Ok(()) }
+            if duty.feed {
+                reader.feed(shared).await?;
+            }
+            Ok(())
         };
         let pause = match read.await {
-            Ok(()) if reads_store(shared) => Duration::ZERO,
+            Ok(()) if duty.feed => Duration::ZERO,
+            Ok(()) if duty.scan => SCAN_INTERVAL,
             Ok(()) => CHECK_INTERVAL,
             Err(error) => {
                 log_failure(shared, &error);
@@ -112,23 +114,6 @@
     }
 }
 
-/// Whether this daemon reads the store itself. The first [`MAX_READERS`] live members of its failure
-/// domain do, and so does every daemon whose last confirmation by the store is older than
-/// [`MAX_CONFIRMATION_AGE`].
-fn reads_store(shared: &Shared) -> bool {
-    let board = &shared.board;
-    let now = board.clock.now();
-    if now.since(board.confirmed()) > MAX_CONFIRMATION_AGE {
-        return true;
-    }
-    let (me, domain) = (&board.settings.vm, &board.settings.failure_domain);
-    board.read_view(|view| {
-        let in_domain = view.iter().filter(|member| member.record.domain == *domain);
-        let live = in_domain.filter(|member| member.is_live(now));
-        live.take(MAX_READERS).any(|member| member.record.vm == *me)
-    })
-}
-
 async fn follow_peers(shared: &Shared) {
     let mut reports = shared.board.newest_document.follow();
     loop {
--- a/src/feed/reader.rs
+++ b/src/feed/reader.rs
@@ -11,10 +11,9 @@
 use crate::shared::Shared;
 use crate::store::{Row, Rows};
 
-/// Maximum time for which the store holds a feed request without a change. Longer waits need fewer
-/// store requests; shorter ones detect a silent connection sooner and confirm the document in force
-/// more often.
-const FEED_WAIT: Duration = Duration::from_millis(2_500);
+/// Maximum time for which the store holds a feed request without a change. A dead connection is noticed
+/// after this and the store's time-out, and a change has to be in force soon after that.
+const FEED_WAIT: Duration = Duration::from_secs(1);
 
 /// Number of scans that return the same row, invalid, until it counts as what the store holds rather
 /// than as an answer that was spoilt.
