Trust no idle connection to the store after one that was silent

What callers saw: requests handled by an older document for up to ten seconds after connections to the store went silent (CONFIG).

Cause: the HTTP client keeps idle connections, several after a start. When all of them go silent, each request takes the next one and waits for its whole time-out, and after three of these the circuit breaker adds its pauses.

Evidence: one_request_at_most_waits_for_connections_that_went_silent fails on the commit before (the second request times out as well).

Change: a time-out drops the pool.

--- a/src/store.rs
+++ b/src/store.rs
@@ -221,7 +221,7 @@
     timeout: Duration,
     wire: WireProtocol,
     clock: Clock,
-    http: HttpClient<HttpConnector, Full<Bytes>>,
+    http: ArcSwap<HttpClient<HttpConnector, Full<Bytes>>>,
     breaker: Mutex<CircuitBreaker>,
     last_answer: AtomicU64,
     era: watch::Sender<Era>,
@@ -232,19 +232,12 @@
     /// Creates a client. It connects when the first store request is sent.
     pub fn new(settings: &settings::Platform, wire: WireProtocol, clock: Clock) -> Self {
         let timeout = Duration::from_millis(settings.timeout_ms);
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(timeout));
-        let http = HttpClient::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
         Self {
             address: ArcSwap::from_pointee(settings.address),
             timeout,
             wire,
             clock,
-            http,
+            http: ArcSwap::from_pointee(http_client(timeout)),
             breaker: Mutex::new(CircuitBreaker::default()),
             last_answer: AtomicU64::new(0),
             era: watch::Sender::default(),
@@ -423,6 +416,8 @@
         }
         let result = tokio::time::timeout(timeout, self.send(&request)).await;
         let result = result.unwrap_or_else(|_| {
+            // The other idle connections may be silent as well, and each would cost another time-out.
+            self.http.store(Arc::new(http_client(self.timeout)));
             Err(StoreError::AnswerLost(format!("no answer in {} ms", timeout.as_millis())))
         });
         self.with_breaker(|breaker, now| {
@@ -446,7 +441,7 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| StoreError::Refused(error.to_string()))?;
-        let response = self.http.request(http_request).await.map_err(|error| {
+        let response = self.http.load().request(http_request).await.map_err(|error| {
             let problem = message::error_chain(&error);
             match message::is_unsent(&error) {
                 true => StoreError::Unavailable(problem),
@@ -477,6 +472,16 @@
     }
 }
 
+fn http_client(connect_timeout: Duration) -> HttpClient<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout));
+    HttpClient::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .build(connector)
+}
+
 fn into_rows(reply: Reply) -> Result<Rows, StoreError> {
     match reply {
         Reply::Rows(rows) => Ok(rows),
