Refuse a document whose text is of another version than announced

What callers would see: requests handled by an older document, and no version between that and the announced one taken any more.

Cause: the project's own format put a text in force under the version that the peer had announced beside it, whatever the text said.

Evidence: a_text_of_another_version_than_announced_is_refused fails on the commit before ("never: the next version is in force", 20 s).

Change: the version that the text names has to be the announced one, for every format; the version in force stays otherwise.

--- a/src/feed.rs
+++ b/src/feed.rs
@@ -16,7 +16,7 @@
 use self::duty::Duty;
 use self::reader::Reader;
 use crate::document::{Document, Policy, RawDocument};
-use crate::error::{Error, Result, StoreError};
+use crate::error::{Error, Invalid, Result, StoreError};
 use crate::publish::{self, Body, Head};
 use crate::reported::Report;
 use crate::shared::Shared;
@@ -80,7 +80,7 @@
     let damaged = |error: serde_json::Error| StoreError::Refused(error.to_string());
     let body: Body = serde_json::from_slice(&text.bytes).map_err(damaged)?;
     let document = Document::parse(&body.sections.join(), "the document in force")?;
-    Ok(Policy::compile(&document, text.version, previous))
+    Ok(Policy::compile(&document, body.version, previous))
 }
 
 /// Follows the document from the store and from peers until the daemon stops.
@@ -172,7 +172,7 @@
             Acceptance::Outdated
         };
     }
-    let policy = match (shared.format.compile)(&text, &in_force) {
+    let policy = match compile_announced(shared, &text, &in_force) {
         Ok(policy) => policy,
         Err(error) => {
             if let Some(weight) = weigh(shared, "document-rejected") {
@@ -187,6 +187,21 @@
     Acceptance::InForce
 }
 
+/// Compiles a document, unless its text is of another version than was announced.
+fn compile_announced(shared: &Shared, text: &RawDocument, previous: &Policy) -> Result<Policy> {
+    let policy = (shared.format.compile)(text, previous)?;
+    if policy.version == text.version {
+        return Ok(policy);
+    }
+    Err(Error::Invalid(Invalid {
+        origin: "the document".to_owned(),
+        line: None,
+        key: "version".to_owned(),
+        problem: format!("the text of {} was given for {}", policy.version, text.version),
+        remedy: "the version in force stays; update the daemon that gave it".to_owned(),
+    }))
+}
+
 /// Returns how many events of this kind a log line represents, or `None` if it is to be left out.
 fn weigh(shared: &Shared, kind: &'static str) -> Option<u64> {
     shared.board.log_sampler.weigh(kind, shared.board.clock.now())
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use fleet::{CONDITION_TIMEOUT, Fleet, document, edit, plan, settings_text, until};
+use gypsumtack::document::RawDocument;
 use gypsumtack::member::Record;
 use gypsumtack::publish::{self, Scope};
 use gypsumtack::reported::{NewestReport, Report};
@@ -65,6 +66,24 @@
     until("the reported one is in force", || late.policy.load().version == 3).await;
 }
 
+/// Guards against an older text that is put in force as a newer version, which keeps out all versions between.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_text_of_another_version_than_announced_is_refused() {
+    let mut fleet = Fleet::start(&document()).await;
+    for domain in ["a", "b"] {
+        fleet.add(domain, plan("deep", 8, 1, &[])).await;
+    }
+    let [late, peer] = [0, 1].map(|index| fleet.nodes[index].daemon.board());
+    let text = peer.document.load_full().unwrap();
+    let announced = RawDocument { version: 5, ..(*text).clone() };
+    peer.document.store(Some(Arc::new(announced)));
+    let control = peer.settings.listen.control;
+    late.newest_document.record(Report { version: 5, control, since: Time::ZERO });
+    let scope = Scope::Section { name: "limits".into(), expect: 1 };
+    publish::apply(&fleet.client(), &edit("[limits]\nqueue_ms = 900\n", scope)).await.unwrap();
+    until("the next version is in force", || late.policy.load().version == 2).await;
+}
+
 /// Guards against a daemon that reports a version and then gives the text of the one before.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_text_of_each_version_in_force_can_be_fetched() {
