Check documents of every format by the same rules

Cause: the platform's manifests were checked by type only. A route of a service that does not exist, with weights of 0 only, with an empty host, with no attempts or with a time-out of 0, and a key of two tenants were taken without a word; no attempts became one.

--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -2,7 +2,7 @@
 
 use toml::Spanned;
 
-use super::{Document, SECTIONS};
+use super::{Document, SECTIONS, UnresolvedPolicy};
 use crate::error::Invalid;
 use crate::key;
 
@@ -25,6 +25,7 @@
     validator.check_customers()?;
     validator.check_routes()?;
     validator.check_limits()?;
+    validator.check_references()?;
     Ok(document)
 }
 
@@ -122,19 +123,10 @@
     }
 
     fn check_customers(&self) -> Result<(), Invalid> {
-        let mut seen = std::collections::BTreeMap::new();
         for (name, customer) in &self.document.customers {
             let key = format!("customers.{name}");
             self.check_name(name, customer, &key)?;
             let spec = customer.get_ref();
-            if !(spec.rate > 0.0 && spec.rate.is_finite()) {
-                let problem = format!("rate is {}", spec.rate);
-                return Err(self.error(customer, key, problem, "set requests a second above 0"));
-            }
-            if !(spec.burst >= 1.0 && spec.burst.is_finite()) {
-                let problem = format!("burst is {}", spec.burst);
-                return Err(self.error(customer, key, problem, "set it to 1 or more"));
-            }
             if !(1..=64).contains(&spec.weight) {
                 let problem = format!("weight is {}", spec.weight);
                 return Err(self.error(customer, key, problem, "set it between 1 and 64"));
@@ -145,11 +137,6 @@
                     let remedy = "write the output of `gypsumtack digest`, never the key itself";
                     return Err(self.error(digest, format!("{key}.keys"), problem, remedy));
                 }
-                if let Some(other) = seen.insert(digest.get_ref().clone(), name.clone()) {
-                    let problem = format!("customer {other} has the same key");
-                    let remedy = "grant each key to one customer only";
-                    return Err(self.error(digest, format!("{key}.keys"), problem, remedy));
-                }
             }
         }
         Ok(())
@@ -161,14 +148,6 @@
             let key = format!("routes.{name}");
             self.check_name(name, route, &key)?;
             let spec = route.get_ref();
-            if !spec.path.starts_with('/') {
-                let problem = format!("path {:?} does not start with /", spec.path);
-                return Err(self.error(route, key, problem, "write the path from the root"));
-            }
-            if !self.document.services.contains_key(&spec.service) {
-                let problem = format!("service {:?} is not in [services]", spec.service);
-                return Err(self.error(route, key, problem, "add the service or correct the name"));
-            }
             if !(1..=MAX_DEADLINE_MS).contains(&spec.deadline_ms) {
                 let problem = format!("deadline_ms is {}", spec.deadline_ms);
                 let remedy = format!("set it between 1 and {MAX_DEADLINE_MS}");
@@ -222,6 +201,24 @@
         Ok(())
     }
 
+    /// Checks the rules that hold for every format.
+    fn check_references(&self) -> Result<(), Invalid> {
+        let checked = UnresolvedPolicy::from(self.document).validate(self.origin);
+        checked.map_err(|invalid| Invalid { line: self.line_of(&invalid.key), ..invalid })
+    }
+
+    /// Returns the line at which the entry of a key such as `routes.front` begins.
+    fn line_of(&self, key: &str) -> Option<usize> {
+        let mut parts = key.split('.');
+        let (section, name) = (parts.next()?, parts.next()?);
+        let span = match section {
+            "customers" => self.document.customers.get(name)?.span(),
+            "routes" => self.document.routes.get(name)?.span(),
+            _ => return None,
+        };
+        Some(line_at(self.text, span.start))
+    }
+
     /// Checks that a name has 1 to 64 characters out of those that are allowed.
     fn check_name<T>(&self, name: &str, at: &Spanned<T>, key: &str) -> Result<(), Invalid> {
         let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod policy;
 mod sections;
+mod validate;
 
 use std::collections::BTreeMap;
 use std::fmt;
