Refuse late requests of a stopping daemon, and serve the calls of running ones

What callers saw: connections that ended under them while the daemon was still at work, and requests that failed since the calls that their backend server made found no daemon.

Cause: after leave_ms a graceful shutdown closed the callers' address, and every connection without a pending request. On the platform the local backend server's own calls arrive at the same address, so a request that was taken in time lost its calls.

Change: the callers' address stays open until no request is in flight, or until the time for final answers. After leave_ms the entry refuses what comes from callers with 503, leaving, not run, before it is passed on, and the answer closes the connection; calls are served. A daemon without requests ends as early as before.

--- a/src/board.rs
+++ b/src/board.rs
@@ -5,6 +5,7 @@
 //! writer of each section.
 
 mod in_flight;
+mod shutdown;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -118,6 +119,9 @@
     /// Time from which the local backend server accepts no new requests, in microseconds; `u64::MAX`
     /// while none is scheduled.
     pub(crate) closing: AtomicU64,
+    /// Time at which a graceful shutdown gives up on requests, in microseconds; `u64::MAX` before one
+    /// has begun.
+    stop_deadline: AtomicU64,
     /// Time since which this failure domain is isolated, in microseconds; `u64::MAX` while it is not.
     isolated_since: AtomicU64,
     /// Time at which the store last confirmed the document in force, in microseconds.
@@ -174,6 +178,7 @@
             counter: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             closing: AtomicU64::new(u64::MAX),
+            stop_deadline: AtomicU64::new(u64::MAX),
             isolated_since: AtomicU64::new(u64::MAX),
             confirmed: AtomicU64::new(0),
             first_start: AtomicBool::new(false),
@@ -293,21 +298,6 @@
         self.update_view(|_, _| ());
     }
 
-    /// Whether the local backend server accepts new requests.
-    ///
-    /// When it drains or withdraws, or the daemon shuts down, it still accepts them for `leave_ms`,
-    /// until the other daemons have received the change.
-    pub fn is_ready(&self) -> bool {
-        let closing = Time::from_micros(self.closing.load(Ordering::Acquire));
-        self.backend.load().is_some() && self.clock.now() < closing
-    }
-
-    pub(crate) fn schedule_closing(&self) {
-        let span = Duration::from_millis(self.settings.limits.leave_ms);
-        let closing = (self.clock.now() + span).as_micros();
-        self.closing.fetch_min(closing, Ordering::AcqRel);
-    }
-
     /// Whether this daemon can serve callers: its document is current and it is not leaving.
     pub fn is_serving(&self) -> bool {
         self.is_current() && !self.is_leaving()
@@ -362,23 +352,6 @@
         self.metrics.render()
     }
 
-    /// Starts a graceful shutdown: other daemons stop routing new requests to this VM.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
-        self.schedule_closing();
-        self.publish_self();
-    }
-
-    /// Whether no request is in flight.
-    pub fn is_idle(&self) -> bool {
-        self.in_flight.load(Ordering::Acquire) == 0 && self.live.is_empty()
-    }
-
-    /// Whether a graceful shutdown has begun.
-    pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
-    }
-
     /// Puts this VM's new record into the view, which heartbeats distribute.
     pub fn publish_self(&self) {
         self.counter.fetch_add(1, Ordering::AcqRel);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,7 +25,7 @@
 use crate::shared::Shared;
 use crate::store::{Client, WireProtocol};
 use crate::supervise::restart_after_panic;
-use crate::time::{self, Clock};
+use crate::time::{self, Clock, Time};
 use crate::{claims, controllers, egress, entry, feed, ops, peer, pipeline, wire};
 
 /// Interval at which a graceful shutdown checks whether all requests have ended, and the time that each
@@ -42,9 +42,6 @@
     watch::Receiver<bool>,
 ) -> std::io::Result<BoxFuture<'static, ()>>;
 
-/// Part of the shutdown time that is reserved for final answers to requests that did not end in time.
-const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
-
 /// The protocols towards callers, backend servers, the store and operators.
 ///
 /// This crate has its own; an adapter for a platform provides those of the platform.
@@ -182,7 +179,8 @@
     }
 
     /// Shuts down gracefully: announces the shutdown, waits `leave_ms` for the other daemons to learn of
-    /// it, and lets requests in flight end within `stop_ms`.
+    /// it, and lets requests in flight end within `stop_ms`. The callers' address stays open for their
+    /// calls until then; new requests of callers are refused.
     pub async fn stop(self) {
         let shared = &self.shared;
         let board = &shared.board;
@@ -193,11 +191,9 @@
         let bound = Duration::from_millis(limits.stop_ms);
         let end = board.clock.now() + bound;
         let ListenerTasks { callers, egress, peers, control, operators } = self.listener_tasks;
-        callers.close(bound).await;
-        let busy = || !board.is_idle() || shared.claims.unsettled() > 0;
-        while busy() && board.clock.now() < end {
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        }
+        wait_until_idle(shared, board.stop_deadline()).await;
+        callers.close(end.since(board.clock.now())).await;
+        wait_until_idle(shared, end).await;
         let handed_back = board.is_retiring() && hand_back(shared).await;
         if handed_back {
             controllers::notify_peers(shared).await;
@@ -212,6 +208,15 @@
     }
 }
 
+/// Waits until no request is in flight and no claim is unsettled, or until `end`.
+async fn wait_until_idle(shared: &Shared, end: Time) {
+    let board = &shared.board;
+    let busy = || !board.is_idle() || shared.claims.unsettled() > 0;
+    while busy() && board.clock.now() < end {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
+}
+
 /// Spawns a background task that starts again after a panic.
 fn spawn_background<F>(
     name: &'static str,
@@ -319,7 +324,7 @@
         body_memory: limits.body_memory,
         header_timeout: limits.header_timeout(),
         idle_timeout: limits.idle_timeout(),
-        stop_timeout: Duration::from_millis(limits.stop_ms).saturating_sub(FINAL_ANSWER_TIME),
+        stop_timeout: shared.board.stop_deadline().since(shared.board.clock.now()),
     }
 }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -99,6 +99,9 @@
     context.deadline = context.deadline.min(context.start + route.deadline);
     // In a dialect without tokens, downstream calls arrive on open routes.
     context.is_downstream = route.open && shared.dialect.token.is_none();
+    if board.has_left() && !context.is_downstream {
+        return Err(Reason::Leaving);
+    }
     context.customer = identify(&shared.dialect, policy, route, &message.headers)?;
     if let Some(customer) = context.customer {
         check_isolation(board, policy, customer)?;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -426,6 +426,8 @@
         (self.hooks.on_delivery)(Delivery { request: &id, behind, wait });
         self.previous = Some(id);
         let request_waits = matches!(self.read_state, ReadState::Complete(_));
+        // A caller that is told to connect to another VM gets nothing more on this connection.
+        let stopping = stopping || answer.report.reason == Some(Reason::Leaving);
         let closes = (self.read_closed || stopping) && self.queue.is_empty() && !request_waits;
         if closes {
             // Callers take what they sent behind this answer for not read, and send it again.
