Give a request no more time than its stopping daemon has

What callers saw: requests, among them those that must not run twice, that were taken and passed on late in a planned stop and cut when it ended, with an answer that says that they may have run.

Cause: a request that was taken while the daemon was leaving kept its own deadline, which may lie after the end of the stop. The backend server went on working on it, and the daemon broke it off.

Change: the deadline of a request that is taken during a graceful shutdown, at its entry or beside the backend server, ends with the time for final answers, so that the backend server stops working by itself.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -169,9 +169,10 @@
     refuse(shared, envelope, Reason::SlotExpired)
 }
 
-/// When the caller stops waiting, less the time that this hop reserves.
+/// When the caller stops waiting, or this daemon when it shuts down, less the time that this hop reserves.
 fn deadline_of(board: &Board, envelope: &Envelope) -> Time {
-    board.clock.now() + Duration::from_micros(envelope.time_left_us) - HOP_RESERVE
+    let deadline = board.clock.now() + Duration::from_micros(envelope.time_left_us);
+    deadline.min(board.stop_deadline()) - HOP_RESERVE
 }
 
 /// Counts a request as running on the backend server until it is dropped, so that downstream calls can
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -96,7 +96,8 @@
     let route_id = id;
     let route = policy.route_at(route_id);
     context.route = Some(route);
-    context.deadline = context.deadline.min(context.start + route.deadline);
+    let deadline = context.deadline.min(context.start + route.deadline);
+    context.deadline = deadline.min(board.stop_deadline());
     // In a dialect without tokens, downstream calls arrive on open routes.
     context.is_downstream = route.open && shared.dialect.token.is_none();
     if board.has_left() && !context.is_downstream {
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use fleet::recorder::{Ending, Recorder};
+use fleet::recorder::{Arrival, Ending, Recorder};
 use fleet::{Fleet, document, plan, settings_text, until};
 use gypsumtack::announcement::BackendServer;
 use gypsumtack::dialect::Dialect;
@@ -121,3 +121,22 @@
     assert_eq!((fleet.begun(), running.receive().await.expect("an answer").0), (1, 200));
     stopping.await.unwrap();
 }
+
+/// Guards against a request that is passed on with more time than the daemon has, and is cut when it ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_taken_while_leaving_gets_no_more_time_than_its_daemon_has() {
+    let scene = Scene::start(Duration::ZERO, Ending::Status(200)).await;
+    let (mut caller, board) = (scene.connect().await, scene.daemon.board().clone());
+    let silent = |_: &Arrival| (Duration::ZERO, Ending::Silence);
+    let deep = Recorder::start(board.clock, silent).await;
+    scene.fleet.replace_backend(0, deep.address).await;
+    let stop = tokio::spawn(scene.daemon.stop());
+    until("the daemon leaves", || board.is_leaving()).await;
+    let end = board.clock.now() + Duration::from_millis(LEAVE_MS + STOP_MS);
+    caller.send("POST", "/sign", "content-length: 0\r\n").await;
+    until_arrived(&deep, 1).await;
+    let deadline = deep.arrivals()[0].deadline().unwrap();
+    assert!(deadline <= end, "{deadline:?} is after {end:?}");
+    assert!(caller.receive().await.is_some());
+    stop.await.unwrap();
+}
