Answer a request that is half read when its daemon stops

What callers saw: a request sent to its end, and a connection that ended without an answer. Whether the reported requests were among these is not known: they had been passed on.

Cause: once a connection was told to stop it read nothing more, so the rest of a head or a body that had begun to arrive was thrown away while the connection was being closed. What had arrived in the socket by then was not looked at either.

Evidence: a_request_that_is_half_read_when_its_daemon_has_left_is_refused fails without this change (no answer, for the body and the head).

Change: a request that has begun to arrive is read to its end, and refused by the entry; at the end of the stop one that is still incomplete, or waits for an earlier one, is answered as not run.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -139,13 +139,12 @@
         loop {
             self.read_requests();
             let idle = self.queue.is_empty() && self.output.is_empty();
-            if idle && (self.read_closed || stopping) {
+            // Once the listener stops, only a request that has begun to arrive is read to its end.
+            let reads = !self.read_closed && (!stopping || self.has_partial_request());
+            if idle && !reads {
                 break;
             }
-            let may_read = !self.read_closed
-                && !stopping
-                && self.input.len() < READ_AHEAD_BYTES
-                && !self.awaits_memory();
+            let may_read = reads && self.input.len() < READ_AHEAD_BYTES && !self.awaits_memory();
             let starts_request = idle && self.input.is_empty();
             let receives_body = matches!(self.read_state, ReadState::Body(_));
             let event = self
@@ -173,6 +172,7 @@
                 }
                 Event::Stopping => {
                     stopping = true;
+                    self.read_arrived();
                     stop_deadline = self.clock.now() + (self.hooks.bounds)().stop_timeout;
                 }
                 Event::StopExpired => {
@@ -361,6 +361,22 @@
         self.queue.push_back(Pending { id, task, bodiless });
     }
 
+    /// Reads what has arrived by now, so that a request that crosses the end of its connection gets an
+    /// answer.
+    fn read_arrived(&mut self) {
+        if self.read_closed || self.awaits_memory() {
+            return;
+        }
+        while self.input.len() < READ_AHEAD_BYTES
+            && matches!(self.reader.try_read_buf(&mut self.input), Ok(1..))
+        {}
+    }
+
+    /// Whether a request has begun to arrive and is not complete.
+    fn has_partial_request(&self) -> bool {
+        !self.input.is_empty() || !matches!(self.read_state, ReadState::Head)
+    }
+
     /// Whether the body that is being read waits for memory.
     fn awaits_memory(&self) -> bool {
         matches!(&self.read_state, ReadState::Body(partial) if partial.wanted.is_some())
@@ -400,15 +416,26 @@
     }
 
     /// Gives up on the requests that did not end within the stop time-out. Every request that was read
-    /// gets a final answer, including those whose complete answers wait for an earlier request.
+    /// gets a final answer, including those whose complete answers wait for an earlier request, and those
+    /// that were not started or not read to their end.
     fn abandon_requests(&mut self) {
         let clock = self.clock;
+        let unstarted = match std::mem::replace(&mut self.read_state, ReadState::Head) {
+            ReadState::Head => None,
+            ReadState::Body(partial) => Some(partial.head.headers),
+            ReadState::Complete(request) => Some(request.message.headers),
+        };
         for pending in self.queue.iter_mut().filter(|pending| !pending.task.is_finished()) {
             let id = pending.id.clone();
             pending.task =
                 completed_task(Answer::refusal(id, Outcome::Unknown, Reason::Leaving), clock);
         }
-        self.read_state = ReadState::Head;
+        if let Some(headers) = unstarted {
+            let id = self.dialect.read_request_id(&headers);
+            let id = id.unwrap_or_else(|_| self.dialect.refusal_id());
+            let task = completed_task(Answer::not_run(id.clone(), Reason::Leaving), clock);
+            self.queue.push_back(Pending { id, task, bodiless: false });
+        }
         self.read_closed = true;
     }
 
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -87,6 +87,26 @@
     until("the request arrived", || front.arrivals().len() >= count).await;
 }
 
+/// Guards against a request that is read to its end and gets no answer, since the stop began meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_half_read_when_its_daemon_has_left_is_refused() {
+    let scene = Scene::start(Duration::ZERO, Ending::Status(200)).await;
+    let (mut body, mut head) = (scene.connect().await, scene.connect().await);
+    body.send("POST", "/sign", "content-length: 10\r\n").await;
+    body.stream.write_all(b"first").await.unwrap();
+    head.stream.write_all(b"POST /sign HTTP/1.1\r\nhost: x\r\n").await.unwrap();
+    let (_fleet, stopping) = scene.stop().await;
+    body.stream.write_all(b" half").await.unwrap();
+    let more = "x-api-key: acme-key\r\ncontent-length: 0\r\n\r\n";
+    head.stream.write_all(more.as_bytes()).await.unwrap();
+    for (name, mut caller) in [("body", body), ("head", head)] {
+        let (status, head) = caller.receive().await.expect(name);
+        assert_eq!(status, 503, "{name}: {head}");
+        assert!(head.contains("connection: close"), "{name}: {head}");
+    }
+    stopping.await.unwrap();
+}
+
 /// Guards against connections that end under their callers while requests are in flight.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_on_an_open_connection_is_refused_once_its_daemon_has_left() {
