Send a read of the store again when its connection is silent

What callers saw: requests handled by an older document for more than two seconds after a change, when the connections of the daemons that read the store fell silent just before it (CONFIG). With a longer time-out in the settings, for as long as that lasts.

Cause: only the time-out of a store request noticed a silent connection. It has to allow for a slow store, so it cannot bound how soon a change is seen. A feed request sent just before the silence ended after 1 s of waiting, 1 s of time-out and up to 0.36 s of pause; a scan after up to 1.2 s until it is due, 1 s and 0.36 s.

Change: a read whose answer is 0.3 s late is sent once more over a new connection, and the first answer counts. The old pool is dropped, so that nobody else waits on it. A change is then seen after 1.3 s by the feed or 1.5 s by the scan at most, whatever the time-out.

--- a/src/store.rs
+++ b/src/store.rs
@@ -5,23 +5,25 @@
 //! own protocol and with a platform's. Every store request has a timeout, and a circuit breaker stops
 //! sending to a store that fails. docs/DESIGN.md, "Store", states what is assumed of the store.
 
-use std::fmt;
+mod pools;
+mod protocol;
+
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use http::{Method, StatusCode, Uri};
+use http::Uri;
 use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client as HttpClient;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
+use self::pools::{Pool, Pools};
+pub use self::protocol::{HttpRequest, Reply, StoreRequest, WireProtocol};
 use crate::breaker::CircuitBreaker;
 use crate::era::{Era, Observation};
 use crate::error::StoreError;
@@ -32,9 +34,10 @@
 use crate::time::{Clock, Time};
 use crate::unreadable::{UnreadableCounter, UnreadableRows};
 
-/// Time after which an idle connection to the store is closed. Longer than the pauses between store
-/// requests without traffic, so that connections are reused.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time by which an answer is late when its connection counts as silent. A read is then sent again over a
+/// new connection, so that the time-out, which allows for a slow store, does not bound how soon a change
+/// is seen.
+const SILENCE: Duration = Duration::from_millis(300);
 
 /// A row of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -136,84 +139,6 @@
     pub unreadable: Vec<UnreadableRow>,
 }
 
-/// A request to the store.
-#[derive(Debug, Clone)]
-pub enum StoreRequest<'a> {
-    /// Commits a transaction.
-    Commit(&'a Transaction),
-    /// Reads rows by their keys as a consistent snapshot.
-    Read(&'a [String]),
-    /// Reads the rows whose keys start with a prefix.
-    Scan {
-        /// The prefix of the keys, which includes the full name of the table.
-        prefix: &'a str,
-        /// If set, only rows with keys after this one are returned.
-        from: Option<&'a str>,
-        /// Only rows written by a later commit than this one are returned.
-        after: u64,
-    },
-    /// Waits for changes of a table.
-    Feed {
-        /// The name of the table, followed by a slash.
-        table: &'a str,
-        /// Only changes by a later commit than this one are returned.
-        after: u64,
-        /// Maximum time for which the store waits for a change before it answers.
-        wait: Duration,
-    },
-    /// Stores an object.
-    PutObject {
-        /// The name of the object.
-        name: &'a str,
-        /// The content of the object.
-        body: &'a Bytes,
-    },
-    /// Fetches an object by its name.
-    GetObject(&'a str),
-}
-
-/// The store's answer to a [`StoreRequest`].
-#[derive(Debug, Clone, PartialEq)]
-pub enum Reply {
-    /// Answers [`StoreRequest::Commit`].
-    Commit(Commit),
-    /// Answers [`StoreRequest::Read`], [`StoreRequest::Scan`] and [`StoreRequest::Feed`].
-    Rows(Rows),
-    /// Answers [`StoreRequest::PutObject`].
-    Stored,
-    /// Answers [`StoreRequest::GetObject`]; `None` if the object does not exist.
-    Object(Option<Bytes>),
-}
-
-/// A store request in its HTTP form.
-#[derive(Debug, Clone)]
-pub struct HttpRequest {
-    /// The method.
-    pub method: Method,
-    /// The path and the query.
-    pub target: String,
-    /// The body.
-    pub body: Bytes,
-}
-
-/// Translates store requests to HTTP requests, and HTTP responses to replies. The client owns
-/// connections, timeouts and the circuit breaker.
-#[derive(Clone, Copy)]
-pub struct WireProtocol {
-    /// Encodes a store request.
-    pub encode: fn(&StoreRequest<'_>) -> Result<HttpRequest, StoreError>,
-    /// Decodes the HTTP response to a store request.
-    pub decode: fn(&StoreRequest<'_>, StatusCode, Bytes) -> Result<Reply, StoreError>,
-    /// The header of every response that holds the number of the store's [era](crate::era).
-    pub era: &'static str,
-}
-
-impl fmt::Debug for WireProtocol {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Wire")
-    }
-}
-
 /// A client of the store, as each daemon and the command line have one.
 #[derive(Debug)]
 pub struct Client {
@@ -221,7 +146,7 @@
     timeout: Duration,
     wire: WireProtocol,
     clock: Clock,
-    http: ArcSwap<HttpClient<HttpConnector, Full<Bytes>>>,
+    pools: Pools,
     breaker: Mutex<CircuitBreaker>,
     last_answer: AtomicU64,
     era: watch::Sender<Era>,
@@ -237,7 +162,7 @@
             timeout,
             wire,
             clock,
-            http: ArcSwap::from_pointee(http_client(timeout)),
+            pools: Pools::new(timeout),
             breaker: Mutex::new(CircuitBreaker::default()),
             last_answer: AtomicU64::new(0),
             era: watch::Sender::default(),
@@ -414,10 +339,31 @@
         if !self.with_breaker(CircuitBreaker::admit) {
             return Err(StoreError::BreakerOpen);
         }
-        let result = tokio::time::timeout(timeout, self.send(&request)).await;
-        let result = result.unwrap_or_else(|_| {
-            // The other idle connections may be silent as well, and each would cost another time-out.
-            self.http.store(Arc::new(http_client(self.timeout)));
+        let pool = self.pools.current();
+        let Some(wait) = request.read_wait() else {
+            return self.attempt(pool, &request, timeout).await;
+        };
+        let mut first = pin!(self.attempt(Arc::clone(&pool), &request, timeout));
+        let patience = wait + SILENCE.min(self.timeout / 2);
+        if let Ok(result) = tokio::time::timeout(patience, &mut first).await {
+            return result;
+        }
+        self.pools.replace(&pool);
+        let second = pin!(self.attempt(self.pools.current(), &request, timeout));
+        // The store may be slow instead, and the first answer on its way.
+        futures::future::select_ok([first, second]).await.map(|(reply, _)| reply)
+    }
+
+    /// Sends a request once, over a connection of `pool`.
+    async fn attempt(
+        &self,
+        pool: Arc<Pool>,
+        request: &StoreRequest<'_>,
+        timeout: Duration,
+    ) -> Result<Reply, StoreError> {
+        let answer = tokio::time::timeout(timeout, self.send(&pool, request)).await;
+        let result = answer.unwrap_or_else(|_| {
+            self.pools.replace(&pool);
             Err(StoreError::AnswerLost(format!("no answer in {} ms", timeout.as_millis())))
         });
         self.with_breaker(|breaker, now| {
@@ -430,7 +376,7 @@
         result
     }
 
-    async fn send(&self, request: &StoreRequest<'_>) -> Result<Reply, StoreError> {
+    async fn send(&self, pool: &Pool, request: &StoreRequest<'_>) -> Result<Reply, StoreError> {
         let HttpRequest { method, target, body } = (self.wire.encode)(request)?;
         let uri = Uri::builder().scheme("http").authority(self.address.load().to_string());
         let uri = uri.path_and_query(target).build();
@@ -441,7 +387,7 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| StoreError::Refused(error.to_string()))?;
-        let response = self.http.load().request(http_request).await.map_err(|error| {
+        let response = pool.request(http_request).await.map_err(|error| {
             let problem = message::error_chain(&error);
             match message::is_unsent(&error) {
                 true => StoreError::Unavailable(problem),
@@ -472,16 +418,6 @@
     }
 }
 
-fn http_client(connect_timeout: Duration) -> HttpClient<HttpConnector, Full<Bytes>> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(connect_timeout));
-    HttpClient::builder(TokioExecutor::new())
-        .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .build(connector)
-}
-
 fn into_rows(reply: Reply) -> Result<Rows, StoreError> {
     match reply {
         Reply::Rows(rows) => Ok(rows),
