Count connections to the store that were silent together as one failure

What callers saw: claims refused, and changes of the document seen late, although the store answered all the while on new connections.

Cause: the circuit breaker opens after three failures in a row. Requests that are under way on several connections when all of them go silent time out one after another, and each counted as a failure of the store.

Evidence: connections_that_went_silent_together_count_as_one_failure fails on the commit before: after four writes that timed out together the next one is refused with BreakerOpen.

Change: a time-out counts only if the pool of its connection is still the one in use. The first to time out replaces it. A store that is away still opens the breaker, by the requests on the new connections.

--- a/src/store.rs
+++ b/src/store.rs
@@ -362,16 +362,19 @@
         timeout: Duration,
     ) -> Result<Reply, StoreError> {
         let answer = tokio::time::timeout(timeout, self.send(&pool, request)).await;
+        let is_silent = answer.is_err();
         let result = answer.unwrap_or_else(|_| {
-            self.pools.replace(&pool);
             Err(StoreError::AnswerLost(format!("no answer in {} ms", timeout.as_millis())))
         });
+        // Connections that were silent together are one failure, and none of the store if new ones work.
+        let counts = !is_silent || self.pools.replace(&pool);
         self.with_breaker(|breaker, now| {
-            if result.as_ref().is_err_and(StoreError::is_outage) {
-                return breaker.record_failure(now, &mut rand::rng());
+            if !result.as_ref().is_err_and(StoreError::is_outage) {
+                self.last_answer.store(now.as_micros(), Ordering::Relaxed);
+                breaker.record_success();
+            } else if counts {
+                breaker.record_failure(now, &mut rand::rng());
             }
-            self.last_answer.store(now.as_micros(), Ordering::Relaxed);
-            breaker.record_success();
         });
         result
     }
--- a/tests/dead_connections.rs
+++ b/tests/dead_connections.rs
@@ -71,6 +71,19 @@
     tokio::time::timeout(fleet::CONDITION_TIMEOUT, reads).await.unwrap();
 }
 
+/// Guards against a circuit breaker that takes several silent connections for a store that is away.
+#[tokio::test]
+async fn connections_that_went_silent_together_count_as_one_failure() {
+    let (_platform, proxy, client) = start(TIMEOUT_MS).await;
+    proxy.forget();
+    let (first, second) = (write(), write());
+    let writes = (0..IDLE).map(|_| client.commit(&first));
+    let lost = futures::future::join_all(writes).await;
+    assert!(lost.iter().all(Result::is_err), "{lost:?}");
+    let commit = client.commit(&second).await;
+    assert!(matches!(commit, Ok(Commit::Done(_))), "{commit:?}");
+}
+
 /// Guards against a write that is sent twice: the first may take effect late.
 #[tokio::test]
 async fn a_write_to_a_slow_store_is_sent_once() {
