Notice a silent connection to a peer however soon its calls give up

A change of the document spread slowly as well.

Cause: a connection counted as silent only while one call waited for 0.25 s. A report of demand gives up after 0.1 s and then takes the instance for unreachable for 0.5 s, again and again, for as long as no other call goes to that daemon. A heartbeat on a silent connection made its daemon a suspect and was not sent again; each pair of daemons has a control connection of its own, so that was so once for each pair.

Change: a connection owes an answer from its first unanswered call on, also when that is given up. Calls that may be made twice (heartbeats, reports, documents, rosters) are made again over a new connection after half of their time-out, 0.25 s at most, if the kept one is older than a second. Loans of tokens are not, since a second one would be lent in vain.

Connections and the watch over them have files of their own.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,27 +4,30 @@
 //! authenticated mutually with the fleet's secret. Calls are multiplexed: many share one connection, and
 //! all of them fail when it stops answering. docs/DESIGN.md, "Links".
 
+mod connection;
 mod heartbeat;
 mod server;
+mod watch;
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures::future::Either;
 use serde::{Deserialize, Serialize};
 use tarpc::{client, context};
-use tokio::sync::{OnceCell, watch};
+use tokio::sync::OnceCell;
 
+use self::connection::PeerConnection;
 pub use self::heartbeat::Heartbeat;
 use self::heartbeat::{merge_heartbeat, own_heartbeat};
 pub use self::server::serve;
-use crate::codec::Postcard;
+pub use self::watch::watch_connections;
 use crate::document::RawDocument;
 use crate::envelope::Envelope;
-use crate::handshake;
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::overload::{DemandReport, OverloadStatus};
@@ -49,21 +52,12 @@
 /// Timeout for fetching a document or a roster.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time without an answer, while calls are pending, after which a connection is pinged.
-const PING_AFTER: Duration = Duration::from_millis(250);
-
-/// Timeout for the answer to a ping.
-const PING_TIMEOUT: Duration = Duration::from_millis(350);
-
 /// Maximum time until the deadline of a call. The timers of a connection end it for a deadline that is
 /// years away, as a route without a sensible one has.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(3_600);
 
-/// Interval between checks for connections that do not answer.
-const WATCH_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Maximum number of calls that wait to be written to one connection.
-const MAX_PENDING: usize = 1_000;
+/// Time after which a call that may be made twice is made again over a new connection.
+const RESEND_AFTER: Duration = Duration::from_millis(250);
 
 #[tarpc::service]
 trait Peer {
@@ -109,59 +103,6 @@
     connections: Mutex<BTreeMap<SocketAddr, Arc<OnceCell<Arc<PeerConnection>>>>>,
 }
 
-/// A connection to one peer.
-#[derive(Debug)]
-struct PeerConnection {
-    client: PeerClient,
-    waiting: AtomicUsize,
-    last_answer: AtomicU64,
-    closed: watch::Sender<bool>,
-}
-
-/// Counts a call as pending on its connection until it is dropped.
-struct PendingCall<'a>(&'a PeerConnection);
-
-impl Drop for PendingCall<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-impl PeerConnection {
-    /// Waits for an answer, or until the connection is closed.
-    async fn call<T>(
-        &self,
-        clock: Clock,
-        answer: impl Future<Output = Result<T, client::RpcError>>,
-    ) -> Result<T, CallError> {
-        if self.waiting.fetch_add(1, Ordering::AcqRel) == 0 {
-            self.record_answer(clock.now());
-        }
-        let _pending = PendingCall(self);
-        let mut closed = self.closed.subscribe();
-        tokio::select! {
-            answer = answer => match answer {
-                Ok(answer) => {
-                    self.record_answer(clock.now());
-                    Ok(answer)
-                }
-                Err(client::RpcError::DeadlineExceeded) => Err(CallError::TimedOut),
-                Err(_) => Err(CallError::ConnectionLost),
-            },
-            _ = closed.wait_for(|closed| *closed) => Err(CallError::ConnectionLost),
-        }
-    }
-
-    fn record_answer(&self, now: Time) {
-        self.last_answer.store(now.as_micros(), Ordering::Relaxed);
-    }
-
-    fn is_silent(&self, now: Time) -> bool {
-        let last_answer = Time::from_micros(self.last_answer.load(Ordering::Relaxed));
-        self.waiting.load(Ordering::Acquire) > 0 && now.since(last_answer) > PING_AFTER
-    }
-}
-
 impl PeerConnections {
     /// Runs a request on the local backend server of the daemon at `address`.
     ///
@@ -228,8 +169,11 @@
     /// Exchanges heartbeats with one peer. Returns whether it answered.
     pub async fn exchange_heartbeat(&self, shared: &Shared, member: &Record) -> bool {
         let heartbeat = own_heartbeat(shared);
-        let send = async |client: &PeerClient, context| client.heartbeat(context, heartbeat).await;
-        let reply = self.call_within(HEARTBEAT_TIMEOUT, shared, member.control, send).await;
+        let send = |client: PeerClient, context| {
+            let heartbeat = heartbeat.clone();
+            async move { client.heartbeat(context, heartbeat).await }
+        };
+        let reply = self.call_again_within(HEARTBEAT_TIMEOUT, shared, member.control, send).await;
         let Some(reply) = reply else { return false };
         merge_heartbeat(shared, reply);
         true
@@ -257,23 +201,27 @@
         report: DemandReport,
     ) -> Option<OverloadStatus> {
         let vm = shared.board.settings.vm.clone();
-        let send =
-            async |client: &PeerClient, context| client.report_demand(context, vm, report).await;
-        self.call_within(REPORT_TIMEOUT, shared, address, send).await
+        let send = |client: PeerClient, context| {
+            let vm = vm.clone();
+            async move { client.report_demand(context, vm, report).await }
+        };
+        self.call_again_within(REPORT_TIMEOUT, shared, address, send).await
     }
 
     /// Fetches the document from the daemon at `address` if it is newer than the one in force here.
     pub async fn document(&self, shared: &Shared, address: SocketAddr) -> Option<RawDocument> {
         let newer_than = shared.board.policy.load().version;
-        let send = async |client: &PeerClient, context| client.document(context, newer_than).await;
-        self.call_within(FETCH_TIMEOUT, shared, address, send).await.flatten()
+        let send =
+            |client: PeerClient, context| async move { client.document(context, newer_than).await };
+        self.call_again_within(FETCH_TIMEOUT, shared, address, send).await.flatten()
     }
 
     /// Fetches the roster from the daemon at `address` if it is newer than the local one.
     pub async fn roster(&self, shared: &Shared, address: SocketAddr) -> Option<Roster> {
         let newer_than = shared.board.roster.load().version;
-        let send = async |client: &PeerClient, context| client.roster(context, newer_than).await;
-        self.call_within(FETCH_TIMEOUT, shared, address, send).await.flatten()
+        let send =
+            |client: PeerClient, context| async move { client.roster(context, newer_than).await };
+        self.call_again_within(FETCH_TIMEOUT, shared, address, send).await.flatten()
     }
 
     /// Calls the daemon at `address`. Returns `None` if it does not answer within `timeout`.
@@ -292,6 +240,51 @@
         tokio::time::timeout(timeout, call).await.ok()?.ok()
     }
 
+    /// Calls the daemon at `address` with a call that may be made twice: once more over a new connection if
+    /// the answer takes longer than [`RESEND_AFTER`] or half of `timeout`, since a kept connection may be
+    /// silent for good. Returns `None` if neither is answered within `timeout`.
+    async fn call_again_within<T, F>(
+        &self,
+        timeout: Duration,
+        shared: &Shared,
+        address: SocketAddr,
+        send: impl Fn(PeerClient, context::Context) -> F,
+    ) -> Option<T>
+    where
+        F: Future<Output = Result<T, client::RpcError>>,
+    {
+        let send = |connection: &PeerConnection| {
+            send(connection.client.clone(), context_with_timeout(timeout))
+        };
+        let call = async {
+            let kept = self.connection(shared, address).await?;
+            let mut first = pin!(self.call(shared, address, &kept, send(&kept)));
+            if let Ok(result) =
+                tokio::time::timeout(RESEND_AFTER.min(timeout / 2), &mut first).await
+            {
+                return result;
+            }
+            if !kept.may_be_silent(shared.board.clock.now()) {
+                return first.await;
+            }
+            self.remove(address, &kept);
+            let second = async {
+                let new = self.connection(shared, address).await?;
+                let result = self.call(shared, address, &new, send(&new)).await;
+                if result.is_ok() {
+                    self.close(address, &kept);
+                }
+                result
+            };
+            match futures::future::select(first, pin!(second)).await {
+                Either::Left((Err(_), second)) => second.await,
+                Either::Right((Err(_), first)) => first.await,
+                Either::Left((answer, _)) | Either::Right((answer, _)) => answer,
+            }
+        };
+        tokio::time::timeout(timeout, call).await.ok()?.ok()
+    }
+
     async fn call<T>(
         &self,
         shared: &Shared,
@@ -315,7 +308,8 @@
     ) -> Result<Arc<PeerConnection>, CallError> {
         let cell = Arc::clone(lock(&self.connections).entry(address).or_default());
         let open = async {
-            let opened = tokio::time::timeout(CONNECT_TIMEOUT, open(shared, address)).await;
+            let opened =
+                tokio::time::timeout(CONNECT_TIMEOUT, PeerConnection::open(shared, address)).await;
             opened.ok()?.inspect_err(|error| log_unopened(shared, address, error)).ok()
         };
         let connection =
@@ -324,53 +318,28 @@
     }
 
     fn close(&self, address: SocketAddr, connection: &Arc<PeerConnection>) {
+        self.remove(address, connection);
+        connection.close();
+    }
+
+    /// Lets later calls open another connection. Those that are pending on this one wait on.
+    fn remove(&self, address: SocketAddr, connection: &Arc<PeerConnection>) {
         let mut connections = lock(&self.connections);
         let current = connections.get(&address).and_then(|cell| cell.get());
         if current.is_some_and(|known| Arc::ptr_eq(known, connection)) {
             connections.remove(&address);
         }
-        connection.closed.send_replace(true);
     }
 
-    fn silent(&self, now: Time) -> Vec<(SocketAddr, Arc<PeerConnection>)> {
+    /// Returns the connections that have owed an answer for longer than `span`.
+    fn silent(&self, span: Duration, now: Time) -> Vec<(SocketAddr, Arc<PeerConnection>)> {
         let connections = lock(&self.connections);
         let open = connections.iter().filter_map(|(address, cell)| Some((*address, cell.get()?)));
-        let silent = open.filter(|(_, connection)| connection.is_silent(now));
+        let silent = open.filter(|(_, connection)| connection.is_silent(span, now));
         silent.map(|(address, connection)| (address, Arc::clone(connection))).collect()
     }
 }
 
-/// Closes connections that have pending calls and do not answer a ping either. Calls that are pending on
-/// such a connection fail immediately. Runs until the daemon stops.
-pub async fn watch_connections(shared: Arc<Shared>) {
-    loop {
-        tokio::time::sleep(WATCH_INTERVAL).await;
-        let now = shared.board.clock.now();
-        for (address, connection) in shared.peers.silent(now) {
-            tokio::spawn(ping_connection(Arc::clone(&shared), address, connection));
-        }
-    }
-}
-
-async fn ping_connection(
-    shared: Arc<Shared>,
-    address: SocketAddr,
-    connection: Arc<PeerConnection>,
-) {
-    // Postdated by the timeout, so that the next check does not send a second ping meanwhile.
-    connection.record_answer(shared.board.clock.now() + PING_TIMEOUT);
-    let answer = tokio::time::timeout(
-        PING_TIMEOUT,
-        connection.client.ping(context_with_timeout(PING_TIMEOUT)),
-    )
-    .await;
-    if matches!(answer, Ok(Ok(()))) {
-        return connection.record_answer(shared.board.clock.now());
-    }
-    tracing::info!(event = "link-silent", vm = shared.board.settings.vm, %address);
-    shared.peers.close(address, &connection);
-}
-
 fn context_with_timeout(timeout: Duration) -> context::Context {
     let mut context = context::current();
     context.deadline = Clock::instant_after(timeout.min(MAX_CALL_TIMEOUT));
@@ -380,19 +349,3 @@
 fn log_unopened(shared: &Shared, address: SocketAddr, error: &io::Error) {
     tracing::debug!(event = "link-unopened", vm = shared.board.settings.vm, %address, %error);
 }
-
-async fn open(shared: &Shared, address: SocketAddr) -> io::Result<Arc<PeerConnection>> {
-    let frames = handshake::open(&shared.keys, address).await?;
-    let transport = tarpc::serde_transport::new(frames, Postcard);
-    let mut config = client::Config::default();
-    config.max_in_flight_requests = usize::MAX;
-    config.pending_request_buffer = MAX_PENDING;
-    let client = PeerClient::new(config, transport).spawn();
-    let connection = PeerConnection {
-        client,
-        waiting: AtomicUsize::new(0),
-        last_answer: AtomicU64::new(0),
-        closed: watch::Sender::new(false),
-    };
-    Ok(Arc::new(connection))
-}
