Send a request whose connection was lost once more if it has not arrived

What callers saw: 502 and an unknown outcome for requests that no backend server had got, after connections between daemons went silent for good.

Cause: the sender of a request that is lost with its connection cannot tell whether it arrived.

Change: the sender asks the same daemon over a new connection to run the request if it has not arrived. The daemon remembers arrivals for 4 s; a request that was sent again is refused if it arrives in its first form. Nothing runs twice, no retry is spent, and an instance whose connection alone was at fault is not left out for 0.5 s. The decision is pure (src/arrivals.rs) and says "may have run" for anything it cannot know: sent before the daemon started, more than 4 s ago, or without an id.

What a silent connection costs is now the time until it is noticed, link by link.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -164,7 +164,8 @@
     }
 }
 
-/// Refuses a request whose reserved slot has expired before it arrived.
+/// Refuses a request that arrived too late: after its reserved slot has expired, or after its sender has
+/// sent it again.
 pub fn refuse_expired(shared: &Shared, envelope: &Envelope) -> Answer {
     refuse(shared, envelope, Reason::SlotExpired)
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::arrivals::Arrivals;
 use crate::board::Board;
 use crate::body::BodyMemory;
 use crate::connection::Connections;
@@ -145,6 +146,7 @@
             store: Client::new(&board.settings.platform, adapter.wire, clock)
                 .with_unreadable_counter(board.metrics.unreadable_rows.clone()),
             peers: PeerConnections::default(),
+            arrivals: Mutex::new(Arrivals::new(clock.now())),
             reservations: Reservations::default(),
             bodies: BodyMemory::new(board.settings.limits.body_memory),
             server: Connections::new(clock),
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -362,24 +362,27 @@
     instance: &Arc<Instance>,
     time_left: Duration,
 ) -> Answer {
-    let body_bytes = call.message.body.len();
-    let reserves = !call.idempotent || body_bytes > UNRESERVED_BYTES;
+    let sent = shared.board.clock.now();
+    let reserves = !call.idempotent || call.message.body.len() > UNRESERVED_BYTES;
     let is_sent = AtomicBool::new(!reserves);
     let run = async {
-        let (peers, address) = (&shared.peers, instance.peers);
-        let message = call.message.clone();
-        if !reserves {
-            return peers.run(shared, address, envelope.clone(), message).await;
+        let result = run_remote(shared, &envelope, call, instance, reserves, &is_sent).await;
+        if !matches!(result, Err(peer::CallError::ConnectionLost)) {
+            return result;
         }
-        match peers.reserve(shared, address, envelope.clone(), body_bytes).await? {
-            SlotGrant::Refused(refusal) => Ok(*refusal),
-            SlotGrant::Held(slot) => {
-                is_sent.store(true, Ordering::Relaxed);
-                let left = call.deadline.since(shared.board.clock.now());
-                let envelope =
-                    Envelope { time_left_us: left.as_micros() as u64, ..envelope.clone() };
-                peers.run_reserved(shared, address, slot, envelope, message).await
-            }
+        // The connection alone may have been at fault.
+        if !is_sent.load(Ordering::Relaxed) {
+            return run_remote(shared, &envelope, call, instance, reserves, &is_sent).await;
+        }
+        let now = shared.board.clock.now();
+        let resent = with_time_left(&envelope, call.deadline.since(now));
+        let (age, message) = (now.since(sent), call.message.clone());
+        match shared.peers.resend(shared, instance.peers, age, resent, message).await {
+            Ok(Some(answer)) => Ok(answer),
+            // It may run there, and its answer is lost.
+            Ok(None) => Ok(lost_answer(&envelope, Outcome::Unknown, broke_off(instance))),
+            Err(peer::CallError::Unreachable) => result,
+            Err(error) => Err(error),
         }
     };
     let result = tokio::time::timeout(time_left, run).await;
@@ -395,8 +398,7 @@
         }
         Ok(Err(peer::CallError::ConnectionLost)) => {
             instance.record_connection_failure(shared.board.clock.now());
-            let problem = format!("the daemon on {} broke off", instance.vm);
-            lost_answer(&envelope, outcome, Reason::BadAnswer { problem })
+            lost_answer(&envelope, outcome, broke_off(instance))
         }
         Ok(Err(peer::CallError::TimedOut)) | Err(_) => {
             let reason = Reason::DeadlinePassed { deadline_ms: envelope.deadline_ms };
@@ -405,6 +407,38 @@
     }
 }
 
+/// Makes one call to the daemon of the instance, or two if it reserves a slot first.
+async fn run_remote(
+    shared: &Shared,
+    envelope: &Envelope,
+    call: &Call,
+    instance: &Instance,
+    reserves: bool,
+    is_sent: &AtomicBool,
+) -> Result<Answer, peer::CallError> {
+    let (peers, address) = (&shared.peers, instance.peers);
+    let message = call.message.clone();
+    if !reserves {
+        return peers.run(shared, address, envelope.clone(), message).await;
+    }
+    match peers.reserve(shared, address, envelope.clone(), message.body.len()).await? {
+        SlotGrant::Refused(refusal) => Ok(*refusal),
+        SlotGrant::Held(slot) => {
+            is_sent.store(true, Ordering::Relaxed);
+            let left = call.deadline.since(shared.board.clock.now());
+            peers.run_reserved(shared, address, slot, with_time_left(envelope, left), message).await
+        }
+    }
+}
+
+fn broke_off(instance: &Instance) -> Reason {
+    Reason::BadAnswer { problem: format!("the daemon on {} broke off", instance.vm) }
+}
+
+fn with_time_left(envelope: &Envelope, left: Duration) -> Envelope {
+    Envelope { time_left_us: left.as_micros() as u64, ..envelope.clone() }
+}
+
 /// Creates the answer for an attempt whose answer was lost. Unless the request certainly did not run,
 /// its whole retry budget counts as used.
 fn lost_answer(envelope: &Envelope, outcome: Outcome, reason: Reason) -> Answer {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -70,6 +70,7 @@
     async fn document(newer_than: u64) -> Option<RawDocument>;
     async fn roster(newer_than: u64) -> Option<Roster>;
     async fn ping();
+    async fn resend(age_us: u64, envelope: Envelope, message: Message) -> Option<Answer>;
 }
 
 /// Asks a peer to lend one token of a customer's rate.
@@ -166,6 +167,27 @@
         self.call(shared, address, &connection, answer).await
     }
 
+    /// Runs a request whose connection was lost, if it has not arrived at the daemon at `address` before.
+    /// `age` is the time since it was sent first. Returns `None` if it may have arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Self::run`].
+    pub async fn resend(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        age: Duration,
+        envelope: Envelope,
+        message: Message,
+    ) -> Result<Option<Answer>, CallError> {
+        let context = context_with_timeout(Duration::from_micros(envelope.time_left_us));
+        let connection = self.connection(shared, address).await?;
+        let age_us = age.as_micros() as u64;
+        let answer = connection.client.resend(context, age_us, envelope, message);
+        self.call(shared, address, &connection, answer).await
+    }
+
     /// Exchanges heartbeats with one peer. Returns whether it answered.
     pub async fn exchange_heartbeat(&self, shared: &Shared, member: &Record) -> bool {
         let heartbeat = own_heartbeat(shared);
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -21,14 +21,26 @@
 use crate::reservation::{self, SlotGrant, SlotId};
 use crate::roster::Roster;
 use crate::shared::Shared;
+use crate::sync::lock;
 
 #[derive(Debug, Clone)]
 struct Server {
     shared: Arc<Shared>,
 }
 
+impl Server {
+    /// Returns whether the request may run.
+    fn record_arrival(&self, envelope: &Envelope) -> bool {
+        let now = self.shared.board.clock.now();
+        lock(&self.shared.arrivals).record(&envelope.request, now)
+    }
+}
+
 impl Peer for Server {
     async fn run(self, _: context::Context, envelope: Envelope, message: Message) -> Answer {
+        if !self.record_arrival(&envelope) {
+            return backend::refuse_expired(&self.shared, &envelope);
+        }
         backend::run(&self.shared, envelope, message).await
     }
 
@@ -55,6 +67,9 @@
         envelope: Envelope,
         message: Message,
     ) -> Answer {
+        if !self.record_arrival(&envelope) {
+            return backend::refuse_expired(&self.shared, &envelope);
+        }
         match self.shared.reservations.take(slot) {
             Some(admission) => {
                 backend::run_admitted(&self.shared, envelope, message, admission).await
@@ -92,6 +107,20 @@
     }
 
     async fn ping(self, _: context::Context) {}
+
+    async fn resend(
+        self,
+        _: context::Context,
+        age_us: u64,
+        envelope: Envelope,
+        message: Message,
+    ) -> Option<Answer> {
+        let (age, now) = (Duration::from_micros(age_us), self.shared.board.clock.now());
+        if !lock(&self.shared.arrivals).record_resent(&envelope.request, age, now) {
+            return None;
+        }
+        Some(backend::run(&self.shared, envelope, message).await)
+    }
 }
 
 /// Serves calls from peers until `stop` turns true.
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -2,10 +2,11 @@
 //!
 //! The [`Board`] holds the state and does no I/O. [`Shared`] adds the clients that do.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use http::HeaderName;
 
+use crate::arrivals::Arrivals;
 use crate::board::Board;
 use crate::body::BodyMemory;
 use crate::claims;
@@ -34,6 +35,8 @@
     pub store: store::Client,
     /// Connections to other daemons.
     pub peers: PeerConnections,
+    /// Requests that other daemons have sent here lately.
+    pub arrivals: Mutex<Arrivals>,
     /// Slots of the local backend server that are held for requests of other daemons.
     pub reservations: Reservations,
     /// Memory for long bodies that other daemons send.
--- a/tests/silent_links.rs
+++ b/tests/silent_links.rs
@@ -4,12 +4,16 @@
 
 use std::time::Duration;
 
-use fleet::{Fleet, document, plan};
+use fleet::{Fleet, document, plan, until};
+use gypsumtack::arrivals::Arrivals;
 use gypsumtack::document::Importance;
 use gypsumtack::envelope::{Envelope, RequestId};
 use gypsumtack::member::Record;
 use gypsumtack::overload::DemandReport;
 use gypsumtack::peer::CallError;
+use gypsumtack::time::Time;
+use gypsumtack_standin::caller::CallerRequest;
+use http::HeaderValue;
 
 #[path = "../platform/tests/soak/proxy.rs"]
 #[allow(dead_code, reason = "the soak uses the other faults")]
@@ -83,3 +87,64 @@
     let granted = async { while reserve().await.is_err() {} };
     tokio::time::timeout(fleet::CONDITION_TIMEOUT, granted).await.unwrap();
 }
+
+/// Guards against requests that end as unknown, and against retries, for requests that nobody has got.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_sent_on_a_silent_connection_run_once() {
+    let (fleet, record, [peers, _]) = start().await;
+    fleet.settle(&["deep"]).await;
+    let entry = fleet.nodes[0].daemon.board();
+    until("the entry knows the instance", || entry.instances.load().for_service("deep").len() == 1)
+        .await;
+    let record = Record { counter: record.counter + 1_000, ..record };
+    assert!(entry.update_view(|view, now| view.merge(record, now)));
+    entry.refresh();
+    let ask = || fleet.ask(0, CallerRequest::get("/deep").key("acme-key"));
+    assert_eq!(ask().await.outcome(), "ran");
+    let before = fleet.begun();
+    peers.forget();
+    let answers = futures::future::join_all((0..6).map(|_| ask())).await;
+    for answer in answers {
+        assert_eq!(answer.outcome(), "ran", "{answer:?}");
+    }
+    assert_eq!(fleet.begun() - before, 6);
+}
+
+fn request(text: &str) -> RequestId {
+    RequestId::from_header(&HeaderValue::from_str(text).unwrap()).unwrap()
+}
+
+#[test]
+fn a_request_that_arrived_does_not_run_again() {
+    let (start, one) = (Time::from_millis(10_000), request("one"));
+    let mut arrivals = Arrivals::new(Time::ZERO);
+    assert!(arrivals.record(&one, start));
+    let later = start + Duration::from_millis(700);
+    assert!(!arrivals.record_resent(&one, Duration::from_millis(710), later));
+    assert!(arrivals.record_resent(&request("two"), Duration::from_millis(710), later));
+}
+
+/// Guards against a request that was sent again and then arrives in its first form as well.
+#[test]
+fn a_request_that_was_resent_does_not_run_in_its_first_form() {
+    let (start, one) = (Time::from_millis(10_000), request("one"));
+    let mut arrivals = Arrivals::new(Time::ZERO);
+    assert!(arrivals.record_resent(&one, Duration::from_millis(700), start));
+    assert!(!arrivals.record(&one, start + Duration::from_secs(100)));
+    assert!(!arrivals.record_resent(&one, Duration::ZERO, start));
+}
+
+/// Guards against a promise about a time of which nothing is remembered: before a restart, or long ago.
+#[test]
+fn a_request_that_may_have_arrived_unrecorded_does_not_run_again() {
+    let start = Time::from_millis(10_000);
+    let resend = |arrivals: &mut Arrivals, age_ms, now| {
+        arrivals.record_resent(&request("one"), Duration::from_millis(age_ms), now)
+    };
+    let mut restarted = Arrivals::new(start);
+    assert!(!resend(&mut restarted, 700, start + Duration::from_millis(600)));
+    let mut arrivals = Arrivals::new(Time::ZERO);
+    assert!(!resend(&mut arrivals, 5_000, start));
+    assert!(!arrivals.record_resent(&RequestId::NONE, Duration::ZERO, start));
+    assert!(resend(&mut arrivals, 700, start));
+}
