Check all connections to peers when one has gone silent, and find that out sooner

Cause: each pair of daemons has connections of its own, and each of them was noticed by the first request that used it, 0.6 to 0.7 s later. A request that causes calls met several, one after the other.

Change: a connection that was found silent has all others pinged, also those without calls.

--- a/src/peer.rs
+++ b/src/peer.rs
@@ -13,6 +13,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -102,6 +103,8 @@
 #[derive(Debug, Default)]
 pub struct PeerConnections {
     connections: Mutex<BTreeMap<SocketAddr, Arc<OnceCell<Arc<PeerConnection>>>>>,
+    /// Whether a connection has gone silent lately.
+    silence: AtomicBool,
 }
 
 impl PeerConnections {
@@ -353,12 +356,33 @@
         }
     }
 
+    /// Records that a connection has gone silent.
+    fn note_silence(&self) {
+        self.silence.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a connection has gone silent since the last call.
+    fn take_silence(&self) -> bool {
+        self.silence.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns the connections that have owed an answer for longer than `span`.
     fn silent(&self, span: Duration, now: Time) -> Vec<(SocketAddr, Arc<PeerConnection>)> {
+        let silent = |(_, connection): &(_, Arc<PeerConnection>)| connection.is_silent(span, now);
+        self.open().into_iter().filter(silent).collect()
+    }
+
+    /// Returns all open connections.
+    fn open(&self) -> Vec<(SocketAddr, Arc<PeerConnection>)> {
         let connections = lock(&self.connections);
         let open = connections.iter().filter_map(|(address, cell)| Some((*address, cell.get()?)));
-        let silent = open.filter(|(_, connection)| connection.is_silent(span, now));
-        silent.map(|(address, connection)| (address, Arc::clone(connection))).collect()
+        open.map(|(address, connection)| (address, Arc::clone(connection))).collect()
+    }
+
+    /// Whether the daemon at `address` answers a ping within `timeout`.
+    async fn is_answered(&self, shared: &Shared, address: SocketAddr, timeout: Duration) -> bool {
+        let send = async |client: &PeerClient, context| client.ping(context).await;
+        self.call_within(timeout, shared, address, send).await.is_some()
     }
 }
 
--- a/tests/silent_links.rs
+++ b/tests/silent_links.rs
@@ -88,6 +88,28 @@
     tokio::time::timeout(fleet::CONDITION_TIMEOUT, granted).await.unwrap();
 }
 
+/// Guards against connections that go silent together and are noticed one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_has_the_others_checked() {
+    let (mut fleet, record, [peers, _]) = start().await;
+    fleet.add("a", plan("deep", 8, 1, &[])).await;
+    let other = fleet.nodes[2].daemon.board().record().peers;
+    let other = Proxy::open(([127, 0, 0, 1], 0).into(), other, None).await.unwrap();
+    let shared = fleet.nodes[0].daemon.shared();
+    let reserve = |address| {
+        let envelope = envelope(Duration::from_secs(5));
+        shared.peers.reserve(shared, address, envelope, 0)
+    };
+    assert!(reserve(record.peers).await.is_ok());
+    assert!(reserve(other.address).await.is_ok());
+    tokio::time::sleep(SILENT_AGE).await;
+    peers.forget();
+    other.forget();
+    assert_eq!(reserve(record.peers).await.unwrap_err(), CallError::ConnectionLost);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(reserve(other.address).await.is_ok());
+}
+
 /// Guards against requests that end as unknown, and against retries, for requests that nobody has got.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_sent_on_a_silent_connection_run_once() {
