Refer to the receiver's clock when a lost request is sent again

What callers could have seen: a request that must not run twice runs twice (TWICE), if the daemon that got it stands still for seconds between the arrival of its second form and its reading.

Cause: the second form said how long ago the first was sent. That age stopped counting when it was sent, so a daemon that read it late took 0.7 s for true although it had forgotten arrivals of 4 s ago meanwhile.

Change: the sender asks the daemon for its time on the new connection, and names the time at which the first form was sent by that clock, or earlier. What the daemon has forgotten is then never taken for what has not arrived, however late the second form is read. One process answers both calls, since they share a connection. a_request_that_may_have_arrived_unrecorded_does_not_run_again has the case.

--- a/src/arrivals.rs
+++ b/src/arrivals.rs
@@ -43,11 +43,14 @@
         !is_resent
     }
 
-    /// Records that a request arrived which was sent for the first time `age` ago. Returns whether it
-    /// may run, which it may only if it has certainly not arrived before.
-    pub fn record_resent(&mut self, request: &RequestId, age: Duration, now: Time) -> bool {
+    /// Records that a request arrived which was sent for the first time at `sent` or later. Returns whether
+    /// it may run, which it may only if it has certainly not arrived before.
+    ///
+    /// `sent` is a time of this daemon's clock and not an age: an age would count from the arrival of the
+    /// second form, which may be late as well.
+    pub fn record_resent(&mut self, request: &RequestId, sent: Time, now: Time) -> bool {
         self.forget(now);
-        let is_covered = age < ARRIVAL_MEMORY.min(now.since(self.since));
+        let is_covered = sent > self.since.max(now - ARRIVAL_MEMORY);
         let has_arrived = self.arrived.contains(request) || self.resent.contains(request);
         let may_run = is_covered && !has_arrived && *request != RequestId::NONE;
         if may_run {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -374,10 +374,9 @@
         if !is_sent.load(Ordering::Relaxed) {
             return run_remote(shared, &envelope, call, instance, reserves, &is_sent).await;
         }
-        let now = shared.board.clock.now();
-        let resent = with_time_left(&envelope, call.deadline.since(now));
-        let (age, message) = (now.since(sent), call.message.clone());
-        match shared.peers.resend(shared, instance.peers, age, resent, message).await {
+        let left = call.deadline.since(shared.board.clock.now());
+        let (resent, message) = (with_time_left(&envelope, left), call.message.clone());
+        match shared.peers.resend(shared, instance.peers, sent, resent, message).await {
             Ok(Some(answer)) => Ok(answer),
             // It may run there, and its answer is lost.
             Ok(None) => Ok(lost_answer(&envelope, Outcome::Unknown, broke_off(instance))),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -71,7 +71,8 @@
     async fn document(newer_than: u64) -> Option<RawDocument>;
     async fn roster(newer_than: u64) -> Option<Roster>;
     async fn ping();
-    async fn resend(age_us: u64, envelope: Envelope, message: Message) -> Option<Answer>;
+    async fn now() -> Time;
+    async fn resend(sent: Time, envelope: Envelope, message: Message) -> Option<Answer>;
 }
 
 /// Asks a peer to lend one token of a customer's rate.
@@ -171,7 +172,7 @@
     }
 
     /// Runs a request whose connection was lost, if it has not arrived at the daemon at `address` before.
-    /// `age` is the time since it was sent first. Returns `None` if it may have arrived.
+    /// `sent` is when it was sent first. Returns `None` if it may have arrived.
     ///
     /// # Errors
     ///
@@ -180,14 +181,17 @@
         &self,
         shared: &Shared,
         address: SocketAddr,
-        age: Duration,
+        sent: Time,
         envelope: Envelope,
         message: Message,
     ) -> Result<Option<Answer>, CallError> {
         let context = context_with_timeout(Duration::from_micros(envelope.time_left_us));
+        // Both calls go to one process, whose clock the second one refers to.
         let connection = self.connection(shared, address).await?;
-        let age_us = age.as_micros() as u64;
-        let answer = connection.client.resend(context, age_us, envelope, message);
+        let its_now = connection.client.now(context);
+        let its_now = self.call(shared, address, &connection, its_now).await?;
+        let sent = its_now - shared.board.clock.now().since(sent);
+        let answer = connection.client.resend(context, sent, envelope, message);
         self.call(shared, address, &connection, answer).await
     }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -22,6 +22,7 @@
 use crate::roster::Roster;
 use crate::shared::Shared;
 use crate::sync::lock;
+use crate::time::Time;
 
 #[derive(Debug, Clone)]
 struct Server {
@@ -108,15 +109,19 @@
 
     async fn ping(self, _: context::Context) {}
 
+    async fn now(self, _: context::Context) -> Time {
+        self.shared.board.clock.now()
+    }
+
     async fn resend(
         self,
         _: context::Context,
-        age_us: u64,
+        sent: Time,
         envelope: Envelope,
         message: Message,
     ) -> Option<Answer> {
-        let (age, now) = (Duration::from_micros(age_us), self.shared.board.clock.now());
-        if !lock(&self.shared.arrivals).record_resent(&envelope.request, age, now) {
+        let now = self.shared.board.clock.now();
+        if !lock(&self.shared.arrivals).record_resent(&envelope.request, sent, now) {
             return None;
         }
         Some(backend::run(&self.shared, envelope, message).await)
--- a/tests/silent_links.rs
+++ b/tests/silent_links.rs
@@ -138,35 +138,35 @@
 
 #[test]
 fn a_request_that_arrived_does_not_run_again() {
-    let (start, one) = (Time::from_millis(10_000), request("one"));
+    let (sent, one) = (Time::from_millis(10_000), request("one"));
     let mut arrivals = Arrivals::new(Time::ZERO);
-    assert!(arrivals.record(&one, start));
-    let later = start + Duration::from_millis(700);
-    assert!(!arrivals.record_resent(&one, Duration::from_millis(710), later));
-    assert!(arrivals.record_resent(&request("two"), Duration::from_millis(710), later));
+    assert!(arrivals.record(&one, sent));
+    let later = sent + Duration::from_millis(700);
+    assert!(!arrivals.record_resent(&one, sent, later));
+    assert!(arrivals.record_resent(&request("two"), sent, later));
 }
 
 /// Guards against a request that was sent again and then arrives in its first form as well.
 #[test]
 fn a_request_that_was_resent_does_not_run_in_its_first_form() {
-    let (start, one) = (Time::from_millis(10_000), request("one"));
+    let (sent, one) = (Time::from_millis(10_000), request("one"));
+    let later = sent + Duration::from_millis(700);
     let mut arrivals = Arrivals::new(Time::ZERO);
-    assert!(arrivals.record_resent(&one, Duration::from_millis(700), start));
-    assert!(!arrivals.record(&one, start + Duration::from_secs(100)));
-    assert!(!arrivals.record_resent(&one, Duration::ZERO, start));
+    assert!(arrivals.record_resent(&one, sent, later));
+    assert!(!arrivals.record(&one, later + Duration::from_secs(100)));
+    assert!(!arrivals.record_resent(&one, sent, later));
 }
 
-/// Guards against a promise about a time of which nothing is remembered: before a restart, or long ago.
+/// Guards against a promise about a time of which nothing is remembered: before a restart, or long ago, also
+/// because the second form was late.
 #[test]
 fn a_request_that_may_have_arrived_unrecorded_does_not_run_again() {
-    let start = Time::from_millis(10_000);
-    let resend = |arrivals: &mut Arrivals, age_ms, now| {
-        arrivals.record_resent(&request("one"), Duration::from_millis(age_ms), now)
-    };
-    let mut restarted = Arrivals::new(start);
-    assert!(!resend(&mut restarted, 700, start + Duration::from_millis(600)));
+    let (sent, one) = (Time::from_millis(10_000), request("one"));
+    let soon = sent + Duration::from_millis(700);
+    let mut restarted = Arrivals::new(sent + Duration::from_millis(100));
+    assert!(!restarted.record_resent(&one, sent, soon));
     let mut arrivals = Arrivals::new(Time::ZERO);
-    assert!(!resend(&mut arrivals, 5_000, start));
-    assert!(!arrivals.record_resent(&RequestId::NONE, Duration::ZERO, start));
-    assert!(resend(&mut arrivals, 700, start));
+    assert!(arrivals.record(&one, sent));
+    assert!(!arrivals.record_resent(&one, sent, sent + Duration::from_secs(5)));
+    assert!(!arrivals.record_resent(&RequestId::NONE, soon, soon));
 }
