--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/release/gypsumtack-platform ] || exit 2
-exec target/review/standin late-beat "$folder" target/release/gypsumtack-platform
+exec target/review/standin stop "$folder" target/release/gypsumtack-platform
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -474,6 +474,9 @@
     state: Arc<Mutex<&'static str>>,
     beats: Arc<AtomicBool>,
     gone: Arc<AtomicBool>,
+    /// Of so many answers one has a body without end; 0 for none.
+    endless: Arc<AtomicU64>,
+    answers: Arc<AtomicU64>,
     pub runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
@@ -490,6 +493,8 @@
             state: Arc::new(Mutex::new("ready")),
             beats: Arc::new(AtomicBool::new(true)),
             gone: Arc::default(),
+            endless: Arc::default(),
+            answers: Arc::default(),
             runs: Arc::default(),
             record: record.clone(),
         };
@@ -535,6 +540,23 @@
         post(self.control, &format!("/-/rpc?call={call}&of={}", self.id), body)
     }
 
+    /// Writes a body without end at `ENDLESS_BYTES_PER_S`, until the other side closes.
+    fn write_endless(&self, stream: &mut TcpStream, id: &str) {
+        let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\r\n");
+        let piece = vec![b'x'; 64 << 10];
+        let start = Instant::now();
+        let mut written = 0u64;
+        if stream.write_all(head.as_bytes()).is_err() {
+            return;
+        }
+        while !self.gone.load(Ordering::SeqCst) && stream.write_all(&piece).is_ok() {
+            written += piece.len() as u64;
+            let due = Duration::from_millis(written * 1_000 / ENDLESS_BYTES_PER_S);
+            thread::sleep(due.saturating_sub(start.elapsed()));
+        }
+        self.record.add(format!("{} has written {} KiB of {id} when it is cut off", self.id, written >> 10));
+    }
+
     /// An instance that leaves says so in all its answers.
     fn leaving(&self) -> &'static str {
         if *self.state.lock().unwrap() == "ready" { "" } else { "Server-Leaving: 1\r\n" }
@@ -601,6 +623,11 @@
             if dropped {
                 return;
             }
+            let every = self.endless.load(Ordering::SeqCst);
+            if every > 0 && self.answers.fetch_add(1, Ordering::SeqCst) % every == every - 1 {
+                self.record.add(format!("{} answers {id} with a body without end", self.id));
+                return self.write_endless(&mut stream, &id);
+            }
             let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: {}.{id}\r\n{}Content-Length: 2\r\n\r\nok", self.id, self.leaving());
             if stream.write_all(head.as_bytes()).is_err() {
                 return;
@@ -779,14 +806,17 @@
              \"MaxAttempts\":2,\"Public\":{public}}}"
         )
     };
+    let front = |name: &str, prefix: &str, kind: &str| route(name, prefix, kind, false).replace(service, "front");
     format!(
-        "{{\"Version\":{version},\"Routes\":[{},{},{},{}],\"Services\":[{{\"Name\":\"{service}\",\"HealthPath\":\"/health\",\
+        "{{\"Version\":{version},\"Routes\":[{},{},{},{},{},{}],\"Services\":[{{\"Name\":\"{service}\",\"HealthPath\":\"/health\",\
          \"MaxConnections\":800,\"Protocol\":\"h1\",\"Tls\":false}},{{\"Name\":\"front\",\"HealthPath\":\"/health\",\
          \"MaxConnections\":800,\"Protocol\":\"h1\",\"Tls\":false}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
          \"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}},\"Tenants\":[{{\"Name\":\"one\",\
          \"ApiKeys\":[\"key-of-tenant-one\"],\"Priority\":1,\"RatePerS\":5000,\"Burst\":5000}}]}}",
         route("read", "/read/", "idempotent", false),
         route("sign", "/sign/", "non_idempotent", false),
+        front("front-read", "/front/read/", "idempotent"),
+        front("front-sign", "/front/sign/", "non_idempotent"),
         route("open-read", "/open/read/", "idempotent", true),
         route("open-sign", "/open/sign/", "non_idempotent", true)
     )
@@ -798,6 +828,9 @@
 const DRAIN_MS: u64 = 2_000;
 const CONTACT_MS: u64 = 3_000;
 
+/// Rate of a body without end: a tenth of the site's `LinkMbps`, 1,000.
+const ENDLESS_BYTES_PER_S: u64 = 12_500_000;
+
 /// Work of a sign-off: the longest of the site's sheet.
 const SIGNOFF_MS: u64 = 580;
 
@@ -1083,15 +1116,11 @@
     Some((record, broken > 0))
 }
 
-/// A client sends a body of `MaxBodyBytes`. The platform kills a process that exceeds `MemoryMb`.
-fn memory(program: &str) -> Option<(Record, bool)> {
-    const MEMORY_KIB: u64 = 160 * 1024;
-    const MAX_BODY_BYTES: usize = 67_108_864;
-    const WORK_MS: u64 = 3_500;
-    // As on the site, each machine hosts one instance of one service; the requests go to that of b.
-    let mut fleet = Fleet::start(&["a", "b"], &["z1", "z1"], &["front", "svc"], program)?;
-    let record = fleet.record.clone();
-    let address = fleet.daemons[0].callers;
+/// Clients and the ids of requests whose connections were closed without an answer.
+type Kept = (Vec<thread::JoinHandle<()>>, Arc<Mutex<Vec<String>>>);
+
+/// Twelve clients that each send a second request of `work_ms` on a connection that has carried one.
+fn kept_clients(address: SocketAddr, prefix: &'static str, work_ms: u64, record: &Record) -> Kept {
     let closed: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut clients = Vec::new();
     for number in 0..12 {
@@ -1101,14 +1130,15 @@
             let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
             let mut rest = Vec::new();
             let (method, path) = if number % 2 == 0 { ("POST", "/sign/1") } else { ("GET", "/read/1") };
+            let path = format!("{prefix}{path}");
             // The first request makes the connection a kept one.
-            let _ = stream.write_all(request_text(method, path, &new_id(), 5_000, 10, "").as_bytes());
+            let _ = stream.write_all(request_text(method, &path, &new_id(), 5_000, 10, "").as_bytes());
             if read_http(&mut stream, &mut rest).is_none_or(|answer| answer.status() != 200) {
                 return;
             }
             let id = new_id();
             record.add(format!("client sends {id} ({method} {path}) on a kept connection"));
-            let _ = stream.write_all(request_text(method, path, &id, 5_000, WORK_MS, "").as_bytes());
+            let _ = stream.write_all(request_text(method, &path, &id, 5_000, work_ms, "").as_bytes());
             match read_http(&mut stream, &mut rest) {
                 Some(answer) => {
                     record.add(format!("client gets {} for {id}", answer.status()));
@@ -1120,6 +1150,95 @@
             }
         }));
     }
+    (clients, closed)
+}
+
+/// The platform: for `ms` it kills each process that exceeds `limit_kib`, and starts it again. Records the
+/// most memory of each.
+fn watch_memory(fleet: &mut Fleet, limit_kib: u64, ms: u64, record: &Record) {
+    let end = Instant::now() + Duration::from_millis(ms);
+    let mut most = vec![0; fleet.daemons.len()];
+    while Instant::now() < end {
+        for (index, daemon) in fleet.daemons.iter_mut().enumerate() {
+            let resident = daemon.resident();
+            most[index] = most[index].max(resident);
+            if resident > limit_kib {
+                record.add(format!("{} has {resident} KiB of {limit_kib}: the platform kills it", daemon.name));
+                daemon.kill(record);
+                sleep_ms(500);
+                daemon.start(record);
+            }
+        }
+        sleep_ms(1);
+    }
+    record.add(format!("most memory of each daemon, KiB: {most:?}"));
+}
+
+/// LOST: requests from kept connections that were passed on to `sound` and whose connections were closed
+/// without an answer.
+fn lost_kept(record: &Record, sound: &Instance, closed: &[String]) -> bool {
+    let runs = sound.runs.lock().unwrap().clone();
+    let lost = closed.iter().filter(|id| runs.iter().any(|run| run.id == **id)).count();
+    record.add(format!(
+        "RESULT: {lost} requests from kept connections had been passed on to a sound instance when their connections \
+         were closed without an answer"
+    ));
+    lost > 3
+}
+
+/// One of 33 answers of an instance has a body without end.
+fn endless(program: &str) -> Option<(Record, bool)> {
+    const MEMORY_KIB: u64 = 260 * 1024;
+    // The instance beside b is in trouble; clients on b's machine also send to the sound one beside a.
+    let mut fleet = Fleet::start(&["a", "b"], &["z1", "z1"], &["front", "svc"], program)?;
+    let record = fleet.record.clone();
+    let address = fleet.daemons[1].callers;
+    if trouble() {
+        fleet.instances[1].endless.store(33, Ordering::SeqCst);
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    {
+        let (record, stop) = (record.clone(), Arc::clone(&stop));
+        thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                let record = record.clone();
+                thread::spawn(move || ask(address, "GET", "/read/1", 60, &record));
+                sleep_ms(10);
+            }
+        });
+    }
+    // Batches of requests that last 4.5 s, one after the other.
+    let closed: Arc<Mutex<Vec<String>>> = Arc::default();
+    let batches = {
+        let (record, closed) = (record.clone(), Arc::clone(&closed));
+        thread::spawn(move || {
+            for _ in 0..5 {
+                let (clients, ids) = kept_clients(address, "/front", 2_000, &record);
+                for client in clients {
+                    let _ = client.join();
+                }
+                closed.lock().unwrap().extend(ids.lock().unwrap().iter().cloned());
+            }
+        })
+    };
+    watch_memory(&mut fleet, MEMORY_KIB, 10_000, &record);
+    stop.store(true, Ordering::SeqCst);
+    let _ = batches.join();
+    let closed = closed.lock().unwrap().clone();
+    let broken = lost_kept(&record, &fleet.instances[0], &closed);
+    Some((record, broken))
+}
+
+/// A client sends a body of `MaxBodyBytes`. The platform kills a process that exceeds `MemoryMb`.
+fn memory(program: &str) -> Option<(Record, bool)> {
+    const MEMORY_KIB: u64 = 160 * 1024;
+    const MAX_BODY_BYTES: usize = 67_108_864;
+    const WORK_MS: u64 = 3_500;
+    // As on the site, each machine hosts one instance of one service; the requests go to that of b.
+    let mut fleet = Fleet::start(&["a", "b"], &["z1", "z1"], &["front", "svc"], program)?;
+    let record = fleet.record.clone();
+    let address = fleet.daemons[0].callers;
+    let (clients, closed) = kept_clients(address, "", WORK_MS, &record);
     sleep_ms(700);
     let bytes = if trouble() { MAX_BODY_BYTES } else { 64 << 10 };
     let upload = {
@@ -1137,35 +1256,14 @@
             record.add(format!("client gets {status} for {id} (body sent: {})", sent.is_ok()));
         })
     };
-    // The platform: it kills a process that exceeds its memory, and starts it again.
-    let end = Instant::now() + Duration::from_millis(4_500);
-    let mut most = [0, 0];
-    while Instant::now() < end {
-        for (index, daemon) in fleet.daemons.iter_mut().enumerate() {
-            let resident = daemon.resident();
-            most[index] = most[index].max(resident);
-            if resident > MEMORY_KIB {
-                record.add(format!("{} has {resident} KiB of {MEMORY_KIB}: the platform kills it", daemon.name));
-                daemon.kill(&record);
-                sleep_ms(500);
-                daemon.start(&record);
-            }
-        }
-        sleep_ms(1);
-    }
-    record.add(format!("most memory of a: {} KiB, of b: {} KiB", most[0], most[1]));
+    watch_memory(&mut fleet, MEMORY_KIB, 4_500, &record);
     let _ = upload.join();
     for client in clients {
         let _ = client.join();
     }
-    let runs = fleet.instances[1].runs.lock().unwrap().clone();
     let closed = closed.lock().unwrap().clone();
-    let lost = closed.iter().filter(|id| runs.iter().any(|run| run.id == **id)).count();
-    record.add(format!(
-        "RESULT: {lost} requests from kept connections had been passed on to a sound instance when their connections \
-         were closed without an answer"
-    ));
-    Some((record, lost > 3))
+    let broken = lost_kept(&record, &fleet.instances[1], &closed);
+    Some((record, broken))
 }
 
 fn main() {
@@ -1178,6 +1276,7 @@
         "late-beat" => late_beat(program),
         "gone" => gone(program),
         "memory" => memory(program),
+        "endless" => endless(program),
         "stop" => stop(program),
         _ => None,
     };
