Bound the memory of answers that a backend server decides on

Change: what the head decides needs no body. A delivered body reserves memory from a common bound, at the daemon beside the instance, and from another one at the entry, which fetches long bodies in parts; the memory belongs to the body until its last byte is written. Heads have 64 KiB. Tests of connections got the new arguments; what they demand is unchanged.

Why it works: no byte is kept without a reservation but for 64 KiB an answer, and reservations come from the machine's memory.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::announcement::BackendServer;
 use crate::board::Board;
 use crate::body::{Reservation, UNRESERVED_BYTES};
-use crate::connection::{AnswerHead, RequestError, WholeAnswer};
+use crate::connection::{AnswerHead, BodyUse, RequestError, WholeAnswer};
+use crate::dialect::Dialect;
 use crate::document::{CustomerId, Policy};
 use crate::echo::Echo;
 use crate::envelope::{Envelope, Load, ReachedService, Report, RequestTiming};
@@ -45,7 +46,7 @@
     queue_wait: Duration,
     deadline: Time,
     /// Memory for the body, if it is long and comes from another daemon.
-    _memory: Reservation,
+    memory: Reservation,
 }
 
 impl Admission {
@@ -53,6 +54,11 @@
     pub fn cancel(mut self) {
         self.permit.restart();
     }
+
+    /// Takes the memory for the body, which belongs to the body once that has arrived.
+    pub fn take_memory(&mut self) -> Reservation {
+        self.memory.take()
+    }
 }
 
 /// Runs a request on the local backend server. Makes a single attempt.
@@ -90,8 +96,7 @@
     let permit = board.gate.acquire(slot_request, &envelope.route).await.map_err(refuse)?;
     let queue_wait = board.clock.now().since(queued);
     board.record_queue_wait(envelope.importance, queue_wait);
-    let _memory = None;
-    Ok(Admission { permit, _suspect_permit: suspect_permit, queue_wait, deadline, _memory })
+    Ok(Admission { permit, _suspect_permit: suspect_permit, queue_wait, deadline, memory: None })
 }
 
 /// Waits for memory for a body of `body_bytes` that another daemon is about to send, and for a slot.
@@ -117,7 +122,7 @@
         let reason = Reason::QueueDelay { wait_ms, time_left_ms };
         return Err(Box::new(refuse(shared, envelope, reason)));
     };
-    Ok(Admission { _memory: memory, ..admit(shared, envelope, deadline).await? })
+    Ok(Admission { memory, ..admit(shared, envelope, deadline).await? })
 }
 
 /// Runs a request that holds a slot.
@@ -134,7 +139,7 @@
         admission.cancel();
         return refuse(shared, &envelope, Reason::NotReady);
     };
-    let Admission { mut permit, _suspect_permit, queue_wait, deadline, _memory } = admission;
+    let Admission { mut permit, _suspect_permit, queue_wait, deadline, .. } = admission;
     // The envelope of a reserved request is newer than its admission.
     let deadline = deadline.min(deadline_of(board, &envelope));
     let started = permit.restart();
@@ -292,19 +297,23 @@
     let limit = shared.board.policy.load().limits.answer_bytes;
     let is_idempotent = !live.envelope.claimed;
     // Decided before anything is taken from the answer, and before its connection is used again.
-    let matches = |head: &AnswerHead<'_>| {
+    let judge = |head: &AnswerHead<'_>| {
         let echo = Echo::of(&shared.dialect, &request, head);
         if echo != Echo::Own {
             shared.board.record_unmatched(&shared.dialect, &request, echo, head);
         }
-        echo.is_own()
+        match AnswerKind::of(&shared.dialect, head.status, head.headers, &live.envelope) {
+            _ if !echo.is_own() => BodyUse::Unmatched,
+            AnswerKind::Final => BodyUse::Delivered,
+            _ => BodyUse::Ignored,
+        }
     };
     let response = shared.server.send_request(
         backend.address,
         message.into_request(headers),
         is_idempotent,
         limit,
-        matches,
+        judge,
     );
     match tokio::time::timeout(time_left, response).await {
         Ok(Ok(answer)) => classify_response(shared, backend, live, answer),
@@ -349,8 +358,45 @@
     headers
 }
 
-/// Distinguishes the backend server's answer to this request from a refusal by the backend server, and
-/// from a response that comes from another process.
+/// What an answer is, as its head tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AnswerKind {
+    /// The backend server did not run the request.
+    Refusal,
+    /// It comes from another instance, which did not run the request.
+    Misdirected,
+    /// It comes from another process than a backend server.
+    Unsealed,
+    /// Its status promises that the request did not run, which the backend server does not say.
+    FalsePromise,
+    /// The backend server's answer, which is delivered with its body.
+    Final,
+}
+
+impl AnswerKind {
+    fn of(dialect: &Dialect, status: StatusCode, headers: &HeaderMap, envelope: &Envelope) -> Self {
+        let has = |name: &HeaderName| headers.contains_key(name);
+        let sealed = dialect.seal.as_ref().map(has);
+        if dialect.instance.is_some()
+            && status == StatusCode::MISDIRECTED_REQUEST
+            && sealed != Some(true)
+        {
+            return Self::Misdirected;
+        }
+        if dialect.not_run.as_ref().is_some_and(has) {
+            return Self::Refusal;
+        }
+        if sealed == Some(false) {
+            return Self::Unsealed;
+        }
+        match envelope.claimed && reason::promises_not_run(status) {
+            true => Self::FalsePromise,
+            false => Self::Final,
+        }
+    }
+}
+
+/// Converts what the backend server sent to the answer to the request.
 fn classify_response(
     shared: &Shared,
     backend: &BackendServer,
@@ -359,38 +405,37 @@
 ) -> Answer {
     let dialect = &shared.dialect;
     let request = live.envelope.request.clone();
-    let sealed = dialect.seal.as_ref().map(|name| headers.contains_key(name));
-    let unsealed = sealed == Some(false);
-    let misdirected = dialect.instance.is_some()
-        && status == StatusCode::MISDIRECTED_REQUEST
-        && sealed != Some(true);
-    let refused = dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name));
-    let is_own = !misdirected && (refused || !unsealed);
+    let kind = AnswerKind::of(dialect, status, &headers, &live.envelope);
+    let is_own = !matches!(kind, AnswerKind::Misdirected | AnswerKind::Unsealed);
     let notices = is_own.then(|| Notices::read(dialect, &headers));
     if let Some(notices) = notices {
         shared.board.record_notices(backend, notices);
     }
     let leaving = notices.is_some_and(|notices| notices.leaving);
-    if refused || misdirected {
-        let reason = Reason::Shed { status: status.as_u16() };
-        let mut answer = Answer::not_run(request, reason);
-        answer.report.leaving = leaving;
-        return answer;
-    }
-    if unsealed {
-        let problem = format!("the backend server's answer has no seal ({status})");
-        return Answer::refusal(request, Outcome::Unknown, Reason::BadAnswer { problem });
-    }
-    if live.envelope.claimed && reason::promises_not_run(status) {
-        let problem =
-            format!("the backend server answered {status} and does not say that it ran nothing");
-        let mut answer = Answer::refusal(request, Outcome::Ran, Reason::BadAnswer { problem });
-        answer.report.leaving = leaving;
-        return answer;
-    }
-    message::strip_headers(&mut headers, &shared.private);
-    let report = Report { leaving, ..Report::new(request, Outcome::Ran, None) };
-    Answer { status, headers, body, report }
+    let failure = |outcome, problem| {
+        let reason = Reason::BadAnswer { problem };
+        Answer::refusal(request.clone(), outcome, reason)
+    };
+    let mut answer = match kind {
+        AnswerKind::Refusal | AnswerKind::Misdirected => {
+            Answer::not_run(request, Reason::Shed { status: status.as_u16() })
+        }
+        AnswerKind::Unsealed => {
+            let problem = format!("the backend server's answer has no seal ({status})");
+            failure(Outcome::Unknown, problem)
+        }
+        AnswerKind::FalsePromise => failure(
+            Outcome::Ran,
+            format!("the backend server answered {status} and does not say that it ran nothing"),
+        ),
+        AnswerKind::Final => {
+            message::strip_headers(&mut headers, &shared.private);
+            let report = Report::new(request, Outcome::Ran, None);
+            Answer { status, headers, body, report }
+        }
+    };
+    answer.report.leaving = leaving;
+    answer
 }
 
 /// Whether the backend server no longer accepts connections, after one of its connections broke. If so,
--- a/src/connection.rs
+++ b/src/connection.rs
@@ -9,6 +9,10 @@
 //!
 //! A connection is kept only after an answer that belongs to its request, and used again only if nothing
 //! has arrived behind that answer. Otherwise every later answer could be that of an earlier request.
+//!
+//! A faulty backend server may send bytes without end. The head of an answer is bounded, its body is read
+//! only if the head does not decide already what becomes of the answer, and the bodies of all answers
+//! share a bound on memory. docs/DESIGN.md, "Answers".
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,12 +24,13 @@
 use http::header::CONNECTION;
 use http::{HeaderMap, HeaderName, StatusCode};
 use http_body::Body as _;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::body::{self, BodyMemory, UNRESERVED_BYTES};
 use crate::message::{self, Request};
 use crate::sync::lock;
 use crate::time::{Clock, Time};
@@ -46,6 +51,12 @@
 /// written. Shorter ones fit into the buffers of a connection.
 const LONG_BODY_BYTES: u64 = 64 << 10;
 
+/// Maximum size of the head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Time in which the body of a refusal has to arrive, so that its connection can be kept.
+const SKIP_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The header in which a backend server announces its idle time-out.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
@@ -77,6 +88,8 @@
 #[derive(Debug)]
 pub struct Connections {
     clock: Clock,
+    /// Memory for the long bodies of answers.
+    memory: BodyMemory,
     idle: Arc<Mutex<Vec<Idle>>>,
 }
 
@@ -89,15 +102,15 @@
 }
 
 impl Connections {
-    /// Creates an empty pool.
-    pub fn new(clock: Clock) -> Self {
-        Self { clock, idle: Arc::default() }
+    /// Creates an empty pool. The long bodies of answers share `memory`.
+    pub fn new(clock: Clock, memory: BodyMemory) -> Self {
+        Self { clock, memory, idle: Arc::default() }
     }
 
-    /// Sends a request once and reads its whole answer, whose body may have up to `limit` bytes. `matches`
-    /// decides from the head of the answer whether it belongs to the request. Only an idempotent request
-    /// uses connections that have been idle for long, since it can be tried elsewhere if the backend server
-    /// has dropped the connection.
+    /// Sends a request once and reads its answer, whose body may have up to `limit` bytes. `judge` decides
+    /// from the head of the answer whether it belongs to the request and whether its body is needed. Only
+    /// an idempotent request uses connections that have been idle for long, since it can be tried elsewhere
+    /// if the backend server has dropped the connection.
     ///
     /// # Errors
     ///
@@ -109,7 +122,7 @@
         request: Request,
         is_idempotent: bool,
         limit: u64,
-        matches: impl Fn(&AnswerHead<'_>) -> bool,
+        judge: impl Fn(&AnswerHead<'_>) -> BodyUse,
     ) -> Result<WholeAnswer, RequestError> {
         let mut request = request;
         let has_long_body = request.body().size_hint().lower() >= LONG_BODY_BYTES;
@@ -117,8 +130,10 @@
         while let Some(mut connection) = self.take(address, is_idempotent) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
-                    let answer = read_answer(response, limit, false, matches).await?;
-                    self.keep(address, connection, &answer.1, has_long_body).await;
+                    let (answer, is_read) = self.read_answer(response, limit, false, judge).await?;
+                    if is_read {
+                        self.keep(address, connection, &answer.1, has_long_body).await;
+                    }
                     return Ok(answer);
                 }
                 Err(mut error) => match error.take_message() {
@@ -130,8 +145,10 @@
         let mut connection = Connection::open(address).await.map_err(RequestError::Unsent)?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                let answer = read_answer(response, limit, true, matches).await?;
-                self.keep(address, connection, &answer.1, has_long_body).await;
+                let (answer, is_read) = self.read_answer(response, limit, true, judge).await?;
+                if is_read {
+                    self.keep(address, connection, &answer.1, has_long_body).await;
+                }
                 Ok(answer)
             }
             Err(mut error) => match error.take_message() {
@@ -141,9 +158,37 @@
         }
     }
 
+    /// Reads an answer. Also returns whether it was read to its end, so that its connection can be kept.
+    async fn read_answer(
+        &self,
+        response: http::Response<Incoming>,
+        limit: u64,
+        is_first: bool,
+        judge: impl Fn(&AnswerHead<'_>) -> BodyUse,
+    ) -> Result<(WholeAnswer, bool), RequestError> {
+        let (parts, body) = response.into_parts();
+        let (status, headers) = (parts.status, parts.headers);
+        let body_use = judge(&AnswerHead { status, headers: &headers, is_first });
+        if body_use == BodyUse::Unmatched {
+            return Err(RequestError::Unmatched(status));
+        }
+        if status.is_informational() {
+            return Err(RequestError::Incomplete(format!("{status} is no final answer")));
+        }
+        if body_use == BodyUse::Ignored {
+            let is_read = skip(body).await;
+            return Ok(((status, headers, Bytes::new()), is_read));
+        }
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let body = body::collect(body, limit, &self.memory).await;
+        let body = body.map_err(|error| RequestError::Incomplete(error.to_string()))?;
+        Ok(((status, headers, body), true))
+    }
+
     /// Returns a connection to the pool, unless the `headers` of its answer say that it closes. The
     /// backend server may have answered before it has read a long body; the connection then returns to
-    /// the pool once it has, and the answer does not wait for that.
+    /// the pool once it has, and the answer does not wait for that. One that does not read on in the time
+    /// for which it keeps idle connections loses the connection, and with it the body.
     async fn keep(
         &self,
         address: SocketAddr,
@@ -157,7 +202,8 @@
         let (clock, idle) = (self.clock, Arc::clone(&self.idle));
         let timeout = idle_timeout(headers);
         let returned = async move {
-            if connection.sender.ready().await.is_ok() {
+            let ready = tokio::time::timeout(timeout, connection.sender.ready());
+            if matches!(ready.await, Ok(Ok(()))) {
                 let last_used = clock.now();
                 let expires = last_used + timeout;
                 lock(&idle).push(Idle { address, connection, last_used, expires });
@@ -202,7 +248,9 @@
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
         let socket = stream.as_fd().try_clone_to_owned().map_err(|error| error.to_string())?;
         let socket = Arc::new(std::net::TcpStream::from(socket));
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|error| message::error_chain(&error))?;
         let opened = Self { sender, socket: Arc::downgrade(&socket) };
         tokio::spawn(async move {
@@ -239,24 +287,26 @@
     pub is_first: bool,
 }
 
-/// An answer with its whole body.
+/// What becomes of the body of an answer, as its head tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyUse {
+    /// It is delivered, so all of it is needed.
+    Delivered,
+    /// The head says all that is needed, so the body is not kept.
+    Ignored,
+    /// The answer does not belong to the request.
+    Unmatched,
+}
+
+/// An answer with its whole body, which is empty if it is ignored.
 pub type WholeAnswer = (StatusCode, HeaderMap, Bytes);
 
-async fn read_answer(
-    response: http::Response<Incoming>,
-    limit: u64,
-    is_first: bool,
-    matches: impl Fn(&AnswerHead<'_>) -> bool,
-) -> Result<WholeAnswer, RequestError> {
-    let (parts, body) = response.into_parts();
-    if !matches(&AnswerHead { status: parts.status, headers: &parts.headers, is_first }) {
-        return Err(RequestError::Unmatched(parts.status));
-    }
-    if parts.status.is_informational() {
-        return Err(RequestError::Incomplete(format!("{} is no final answer", parts.status)));
-    }
-    let body = message::collect_body(body, limit).await.map_err(RequestError::Incomplete)?;
-    Ok((parts.status, parts.headers, body))
+/// Skips a body that is not needed. Returns whether its end was reached, which a long body, one of unknown
+/// length and one that is late are not read to.
+async fn skip(body: Incoming) -> bool {
+    let is_short = body.size_hint().exact().is_some_and(|length| length <= UNRESERVED_BYTES as u64);
+    let collected = Limited::new(body, UNRESERVED_BYTES).collect();
+    is_short && matches!(tokio::time::timeout(SKIP_TIMEOUT, collected).await, Ok(Ok(_)))
 }
 
 fn closes_connection(headers: &HeaderMap) -> bool {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::error::{Error, Result};
 use crate::feed::Format;
+use crate::held_bodies::HeldBodies;
 use crate::key::FleetKeys;
 use crate::peer::PeerConnections;
 use crate::pipeline::{Delivery, Hooks};
@@ -149,7 +150,9 @@
             arrivals: Mutex::new(Arrivals::new(clock.now())),
             reservations: Reservations::default(),
             bodies: BodyMemory::new(board.settings.limits.body_memory),
-            server: Connections::new(clock),
+            answers: BodyMemory::new(board.settings.limits.answer_memory),
+            held_bodies: HeldBodies::default(),
+            server: Connections::new(clock, BodyMemory::new(board.settings.limits.answer_memory)),
             claims: sender,
             board,
         });
@@ -210,10 +213,12 @@
     }
 }
 
-/// Waits until no request is in flight and no claim is unsettled, or until `end`.
+/// Waits until no request is in flight, no answer waits to be fetched and no claim is unsettled, or until
+/// `end`.
 async fn wait_until_idle(shared: &Shared, end: Time) {
     let board = &shared.board;
-    let busy = || !board.is_idle() || shared.claims.unsettled() > 0;
+    let busy =
+        || !board.is_idle() || shared.claims.unsettled() > 0 || !shared.held_bodies.is_empty();
     while busy() && board.clock.now() < end {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
--- a/src/egress.rs
+++ b/src/egress.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::Incoming;
 
+use crate::body;
 use crate::claims;
 use crate::document::{Policy, Route};
 use crate::envelope::{Envelope, Token};
@@ -30,10 +31,11 @@
     let path = parts.uri.path();
     let host = message::host_of(&parts.headers);
     let route = policy.match_route(host, parts.method.as_str(), path).map(|id| policy.route_at(id));
-    let limit = policy.limits.request_bytes;
-    let body = match message::collect_body(body, limit).await {
+    let limit = usize::try_from(policy.limits.request_bytes).unwrap_or(usize::MAX);
+    let body = match body::collect(body, limit, &shared.bodies).await {
         Ok(body) => body,
-        Err(problem) => {
+        Err(error) => {
+            let problem = error.to_string();
             let request = dialect.refusal_id();
             return Answer::not_run(request, Reason::BadRequest { problem }).into_response(dialect);
         }
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document::Importance;
+use crate::held_bodies::HeldBody;
 use crate::reason::{Outcome, Reason};
 
 /// Maximum length of a request id that a caller chooses.
@@ -160,6 +161,8 @@
     pub timing: RequestTiming,
     /// Whether the backend server said in its answer that it is leaving.
     pub leaving: bool,
+    /// The body of the answer, if it is long and has to be fetched.
+    pub held_body: Option<HeldBody>,
 }
 
 impl Report {
@@ -175,6 +178,7 @@
             levels: None,
             timing: RequestTiming::default(),
             leaving: false,
+            held_body: None,
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod guard;
 pub mod handshake;
 pub mod head;
+pub mod held_bodies;
 pub mod instance;
 pub mod intake;
 pub mod journal;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use futures::future::Either;
 use serde::{Deserialize, Serialize};
 use tarpc::{client, context};
@@ -27,11 +28,14 @@
 use self::heartbeat::{merge_heartbeat, own_heartbeat};
 pub use self::server::serve;
 pub use self::watch::watch_connections;
+use crate::body::attach_memory;
 use crate::document::RawDocument;
-use crate::envelope::Envelope;
+use crate::envelope::{Envelope, Report};
+use crate::held_bodies::{BodyId, HeldBody};
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::overload::{DemandReport, OverloadStatus};
+use crate::reason::Reason;
 use crate::reservation::{SlotGrant, SlotId};
 use crate::roster::Roster;
 use crate::share::LOAN_VALIDITY;
@@ -57,6 +61,9 @@
 /// years away, as a route without a sensible one has.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(3_600);
 
+/// Shortest wait for memory that is logged.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(50);
+
 /// Time after which a call that may be made twice is made again over a new connection.
 const RESEND_AFTER: Duration = Duration::from_millis(250);
 
@@ -73,6 +80,7 @@
     async fn ping();
     async fn now() -> Time;
     async fn resend(sent: Time, envelope: Envelope, message: Message) -> Option<Answer>;
+    async fn body_part(id: BodyId, offset: u64) -> Option<Bytes>;
 }
 
 /// Asks a peer to lend one token of a customer's rate.
@@ -127,7 +135,8 @@
         let time_left = Duration::from_micros(envelope.time_left_us);
         let connection = self.connection(shared, address).await?;
         let answer = connection.client.run(context_with_timeout(time_left), envelope, message);
-        self.call(shared, address, &connection, answer).await
+        let answer = self.call(shared, address, &connection, answer).await?;
+        self.complete(shared, address, answer, time_left).await
     }
 
     /// Waits for a slot of the backend server of the daemon at `address`, and for memory there for a body
@@ -165,10 +174,12 @@
         envelope: Envelope,
         message: Message,
     ) -> Result<Answer, CallError> {
-        let context = context_with_timeout(Duration::from_micros(envelope.time_left_us));
+        let time_left = Duration::from_micros(envelope.time_left_us);
+        let context = context_with_timeout(time_left);
         let connection = self.connection(shared, address).await?;
         let answer = connection.client.run_reserved(context, slot, envelope, message);
-        self.call(shared, address, &connection, answer).await
+        let answer = self.call(shared, address, &connection, answer).await?;
+        self.complete(shared, address, answer, time_left).await
     }
 
     /// Runs a request whose connection was lost, if it has not arrived at the daemon at `address` before.
@@ -185,14 +196,73 @@
         envelope: Envelope,
         message: Message,
     ) -> Result<Option<Answer>, CallError> {
-        let context = context_with_timeout(Duration::from_micros(envelope.time_left_us));
+        let time_left = Duration::from_micros(envelope.time_left_us);
+        let context = context_with_timeout(time_left);
         // Both calls go to one process, whose clock the second one refers to.
         let connection = self.connection(shared, address).await?;
         let its_now = connection.client.now(context);
         let its_now = self.call(shared, address, &connection, its_now).await?;
         let sent = its_now - shared.board.clock.now().since(sent);
         let answer = connection.client.resend(context, sent, envelope, message);
-        self.call(shared, address, &connection, answer).await
+        match self.call(shared, address, &connection, answer).await? {
+            Some(answer) => self.complete(shared, address, answer, time_left).await.map(Some),
+            None => Ok(None),
+        }
+    }
+
+    /// Fetches the body of an answer if the daemon at `address` holds it because it is long. Waits until
+    /// this daemon has memory for it.
+    async fn complete(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        answer: Answer,
+        time_left: Duration,
+    ) -> Result<Answer, CallError> {
+        let Some(HeldBody { id, bytes }) = answer.report.held_body else { return Ok(answer) };
+        let length = usize::try_from(bytes).unwrap_or(usize::MAX);
+        let longest = shared.answers.longest();
+        let fetched = if length > longest {
+            Err(format!("the answer has {length} bytes, and this daemon takes {longest}"))
+        } else {
+            let started = shared.board.clock.now();
+            let memory = shared.answers.reserve(length).await;
+            log_memory_wait(shared, length, shared.board.clock.now().since(started));
+            let body = self.fetch_body(shared, address, (id, length), time_left).await?;
+            body.map(|body| attach_memory(body, memory))
+                .ok_or_else(|| "the daemon beside it no longer holds its answer".to_owned())
+        };
+        let report = Report { held_body: None, ..answer.report };
+        Ok(match fetched {
+            Ok(body) => Answer { body, report, ..answer },
+            Err(problem) => {
+                let reason = Reason::BadAnswer { problem };
+                let lost = Answer::refusal(report.request.clone(), report.outcome, reason.clone());
+                Answer { report: Report { reason: Some(reason), ..report }, ..lost }
+            }
+        })
+    }
+
+    /// Fetches a body in parts. Returns `None` if it is no longer held.
+    async fn fetch_body(
+        &self,
+        shared: &Shared,
+        address: SocketAddr,
+        (id, length): (BodyId, usize),
+        timeout: Duration,
+    ) -> Result<Option<Bytes>, CallError> {
+        let mut body = BytesMut::with_capacity(length);
+        while body.len() < length {
+            let connection = self.connection(shared, address).await?;
+            let offset = body.len() as u64;
+            let part = connection.client.body_part(context_with_timeout(timeout), id, offset);
+            let part = self.call(shared, address, &connection, part).await?;
+            let Some(part) = part.filter(|part| part.len() <= length - body.len()) else {
+                return Ok(None);
+            };
+            body.extend_from_slice(&part);
+        }
+        Ok(Some(body.freeze()))
     }
 
     /// Exchanges heartbeats with one peer. Returns whether it answered.
@@ -396,6 +466,18 @@
     context
 }
 
+/// Logs an answer that had to wait until this daemon had memory for its body.
+fn log_memory_wait(shared: &Shared, bytes: usize, wait: Duration) {
+    let board = &shared.board;
+    if wait < MIN_LOGGED_WAIT {
+        return;
+    }
+    if let Some(weight) = board.log_sampler.weigh("answer-waited", board.clock.now()) {
+        let (vm, ms) = (&board.settings.vm, wait.as_millis() as u64);
+        tracing::info!(event = "answer-waited-for-memory", weight, vm, bytes, ms);
+    }
+}
+
 fn log_unopened(shared: &Shared, address: SocketAddr, error: &io::Error) {
     tracing::debug!(event = "link-unopened", vm = shared.board.settings.vm, %address, %error);
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use tarpc::context;
 use tarpc::server::{BaseChannel, Channel};
@@ -12,10 +13,12 @@
 use super::heartbeat::{self, Heartbeat};
 use super::{HEARTBEAT_TIMEOUT, LoanRequest, LoanResponse, Peer};
 use crate::backend;
+use crate::body::attach_memory;
 use crate::codec::Postcard;
 use crate::document::RawDocument;
 use crate::envelope::Envelope;
 use crate::handshake;
+use crate::held_bodies::{self, BodyId};
 use crate::message::{Answer, Message};
 use crate::overload::{DemandReport, OverloadStatus};
 use crate::reservation::{self, SlotGrant, SlotId};
@@ -35,6 +38,12 @@
         let now = self.shared.board.clock.now();
         lock(&self.shared.arrivals).record(&envelope.request, now)
     }
+
+    async fn run_here(&self, envelope: Envelope, message: Message) -> Answer {
+        let time_left = Duration::from_micros(envelope.time_left_us);
+        let answer = backend::run(&self.shared, envelope, message).await;
+        held_bodies::hold_long(&self.shared, answer, time_left)
+    }
 }
 
 impl Peer for Server {
@@ -42,7 +51,7 @@
         if !self.record_arrival(&envelope) {
             return backend::refuse_expired(&self.shared, &envelope);
         }
-        backend::run(&self.shared, envelope, message).await
+        self.run_here(envelope, message).await
     }
 
     async fn reserve(
@@ -71,12 +80,14 @@
         if !self.record_arrival(&envelope) {
             return backend::refuse_expired(&self.shared, &envelope);
         }
-        match self.shared.reservations.take(slot) {
-            Some(admission) => {
-                backend::run_admitted(&self.shared, envelope, message, admission).await
-            }
-            None => backend::refuse_expired(&self.shared, &envelope),
-        }
+        let Some(mut admission) = self.shared.reservations.take(slot) else {
+            return backend::refuse_expired(&self.shared, &envelope);
+        };
+        let time_left = Duration::from_micros(envelope.time_left_us);
+        let body = attach_memory(message.body, admission.take_memory());
+        let message = Message { body, ..message };
+        let answer = backend::run_admitted(&self.shared, envelope, message, admission).await;
+        held_bodies::hold_long(&self.shared, answer, time_left)
     }
 
     async fn heartbeat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
@@ -124,7 +135,12 @@
         if !lock(&self.shared.arrivals).record_resent(&envelope.request, sent, now) {
             return None;
         }
-        Some(backend::run(&self.shared, envelope, message).await)
+        Some(self.run_here(envelope, message).await)
+    }
+
+    async fn body_part(self, _: context::Context, id: BodyId, offset: u64) -> Option<Bytes> {
+        let offset = usize::try_from(offset).ok()?;
+        self.shared.held_bodies.part(id, offset)
     }
 }
 
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -18,7 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{OwnedSemaphorePermit, watch};
+use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
 pub use self::listener::{Delivery, Hooks, serve};
@@ -59,6 +59,8 @@
     writer: OwnedWriteHalf,
     input: BytesMut,
     output: BytesMut,
+    /// A long body that is written after the output, and before any further answer.
+    long_body: Bytes,
     read_state: ReadState,
     queue: VecDeque<Pending>,
     /// The id of the request that was answered last.
@@ -119,6 +121,7 @@
             writer,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            long_body: Bytes::new(),
             read_state: ReadState::Head,
             queue: VecDeque::new(),
             previous: None,
@@ -138,7 +141,7 @@
         let mut last_progress = self.clock.now();
         loop {
             self.read_requests();
-            let idle = self.queue.is_empty() && self.output.is_empty();
+            let idle = self.queue.is_empty() && !self.has_output();
             // Once the listener stops, only a request that has begun to arrive is read to its end.
             let reads = !self.read_closed && (!stopping || self.has_partial_request());
             if idle && !reads {
@@ -165,7 +168,13 @@
                     last_progress = self.clock.now();
                     self.grant_memory(reservation);
                 }
-                Event::Written(Ok(_)) => last_progress = self.clock.now(),
+                Event::Written(Ok(_)) => {
+                    last_progress = self.clock.now();
+                    // Even an empty remainder keeps the memory of the whole body.
+                    if self.long_body.is_empty() {
+                        self.long_body = Bytes::new();
+                    }
+                }
                 Event::Answered(answer) => {
                     last_progress = self.clock.now();
                     self.write_answer(answer, stopping);
@@ -193,14 +202,16 @@
     ) -> Event {
         let bounds = (self.hooks.bounds)();
         let body_timeout = self.body_timeout(bounds, last_progress);
-        let timeout = match (self.output.is_empty(), self.input.is_empty(), self.queue.is_empty()) {
+        let (has_output, has_long_body) = (self.has_output(), !self.long_body.is_empty());
+        let timeout = match (!has_output, self.input.is_empty(), self.queue.is_empty()) {
             (false, ..) => Some(WRITE_TIMEOUT),
             (true, _, false) => None,
             (true, ..) if body_timeout.is_some() => body_timeout,
             (true, false, true) => Some(bounds.header_timeout),
             (true, true, true) => Some(bounds.idle_timeout),
         };
-        let may_answer = !self.queue.is_empty() && self.output.len() < WRITE_AHEAD_BYTES;
+        let may_answer =
+            !self.queue.is_empty() && self.output.len() < WRITE_AHEAD_BYTES && !has_long_body;
         let front = self.queue.front_mut();
         let answered = async {
             match front {
@@ -217,6 +228,12 @@
                 ReadState::Head | ReadState::Complete(_) => std::future::pending().await,
             }
         };
+        let written = async {
+            match self.output.is_empty() {
+                true => self.writer.write_buf(&mut self.long_body).await,
+                false => self.writer.write_buf(&mut self.output).await,
+            }
+        };
         let clock = self.clock;
         let timed_out = async {
             match timeout {
@@ -228,9 +245,7 @@
             read = self.reader.read_buf(&mut self.input), if may_read => Event::Read(read),
             reservation = reserved => Event::Reserved(reservation),
             answer = answered, if may_answer => Event::Answered(answer),
-            written = self.writer.write_buf(&mut self.output), if !self.output.is_empty() => {
-                Event::Written(written)
-            }
+            written = written, if has_output => Event::Written(written),
             _ = stop.wait_for(|stop| *stop), if stop_deadline.is_none() => Event::Stopping,
             () = clock.sleep_until(stop_deadline.unwrap_or(Time::MAX)),
                 if stop_deadline.is_some() =>
@@ -294,13 +309,13 @@
             return false;
         }
         match partial.body.read(&mut self.input, bounds.body_bytes) {
-            Ok(Progress::Complete(body, reservations)) => {
-                self.complete_request(*partial, body, reservations);
+            Ok(Progress::Complete(body)) => {
+                self.complete_request(*partial, body);
                 return true;
             }
             Ok(Progress::Input) => {
                 // The answers of earlier requests come before this one's `100 Continue`.
-                if partial.continue_due && self.queue.is_empty() {
+                if partial.continue_due && self.queue.is_empty() && self.long_body.is_empty() {
                     partial.continue_due = false;
                     self.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                 }
@@ -323,17 +338,12 @@
         false
     }
 
-    fn complete_request(
-        &mut self,
-        partial: PartialRequest,
-        body: Bytes,
-        reservations: Vec<OwnedSemaphorePermit>,
-    ) {
+    fn complete_request(&mut self, partial: PartialRequest, body: Bytes) {
         let PartialRequest { head, received, .. } = partial;
         self.read_closed |= head.closes || self.single_request;
         let Head { method, uri, headers, .. } = head;
         let message = Message { method, uri, headers, body };
-        let request = CompleteRequest { message, received, reservations };
+        let request = CompleteRequest { message, received };
         // A request with an unsafe method starts only after all earlier requests have been answered,
         // since its caller sent it without having seen their answers.
         if request.message.method.is_safe() || self.queue.is_empty() {
@@ -344,7 +354,7 @@
     }
 
     fn start(&mut self, request: CompleteRequest) {
-        let CompleteRequest { message, received, reservations } = request;
+        let CompleteRequest { message, received } = request;
         let bodiless = message.method == Method::HEAD;
         let id = match self.dialect.read_request_id(&message.headers) {
             Ok(id) => id,
@@ -354,7 +364,6 @@
         let handling = (self.hooks.handler)(id.clone(), message, waited);
         let task = tokio::spawn(async move {
             let answer = handling.await;
-            drop(reservations);
             (answer, clock.now())
         });
         let task = AbortOnDropHandle::new(task);
@@ -462,7 +471,12 @@
             self.read_state = ReadState::Head;
         }
         let response = answer.into_response(&self.dialect);
-        write_response(&mut self.output, response, bodiless, closes);
+        self.long_body = write_response(&mut self.output, response, bodiless, closes);
+    }
+
+    /// Whether an answer has not been written to its end.
+    fn has_output(&self) -> bool {
+        !self.output.is_empty() || !self.long_body.is_empty()
     }
 
     /// Closes the connection without discarding answers in transit to the caller.
--- a/src/pipeline/reading.rs
+++ b/src/pipeline/reading.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::body::{BodyReader, Reservation};
 use crate::head::Head;
@@ -43,8 +42,6 @@
 pub(super) struct CompleteRequest {
     pub(super) message: Message,
     pub(super) received: Time,
-    /// The memory of the body, held until the request is answered.
-    pub(super) reservations: Vec<OwnedSemaphorePermit>,
 }
 
 impl PartialRequest {
--- a/src/pipeline/response.rs
+++ b/src/pipeline/response.rs
@@ -2,19 +2,21 @@
 
 use std::fmt::Write as _;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::{HeaderValue, StatusCode};
 
+use crate::body::UNRESERVED_BYTES;
 use crate::message::Response;
 
-/// Appends the response to `output`. With `closes`, it announces that the connection closes after it.
+/// Appends the response to `output`, except for a long body, which is returned and comes next. With `closes`,
+/// the response announces that the connection closes after it.
 pub(super) fn write_response(
     output: &mut BytesMut,
     response: Response,
     bodiless: bool,
     closes: bool,
-) {
+) -> Bytes {
     let (mut parts, body) = response.into_parts();
     if closes {
         parts.headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -34,7 +36,13 @@
         output.extend_from_slice(b"\r\n");
     }
     output.extend_from_slice(b"\r\n");
-    if !bodiless && !status_without_body {
-        output.extend_from_slice(&body);
+    if bodiless || status_without_body {
+        return Bytes::new();
+    }
+    // A copy of a long body would not count as memory of the body.
+    if body.len() > UNRESERVED_BYTES {
+        return body;
     }
+    output.extend_from_slice(&body);
+    Bytes::new()
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,7 +15,7 @@
 /// Minimum length of a secret.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// Minimum of `limits.body_memory`, in bytes: with less, long bodies arrive one after the other.
+/// Minimum of `limits.body_memory` and `limits.answer_memory`, in bytes: with less, long bodies arrive one after the other.
 const MIN_BODY_MEMORY: usize = 2 << 20;
 
 /// The settings of one daemon.
@@ -108,6 +108,10 @@
     /// Maximum memory for the long bodies of callers' requests together, in bytes. While it is used up,
     /// connections with further long bodies are not read.
     pub body_memory: usize,
+    /// Maximum memory for the long bodies of the local backend server's answers together, and as much for
+    /// those of other daemons' answers, in bytes. While it is used up, further ones are not read. An answer
+    /// may have up to half of it.
+    pub answer_memory: usize,
     /// Timeout for the arrival of a request head, and for the next part of a body, in milliseconds.
     pub header_ms: u64,
     /// Idle timeout of a caller's connection, and timeout for the arrival of a whole body, in
@@ -128,6 +132,7 @@
             egress_connections: 1_000,
             header_bytes: 32 << 10,
             body_memory: 32 << 20,
+            answer_memory: 48 << 20,
             header_ms: 5_000,
             idle_ms: 60_000,
             leave_ms: 2_000,
@@ -213,10 +218,13 @@
             let problem = format!("it is {}", self.limits.threads);
             return Err(error("limits.threads", problem, "set it between 1 and 64"));
         }
-        if self.limits.body_memory < MIN_BODY_MEMORY {
-            let problem = format!("it is {}", self.limits.body_memory);
+        let memory = [
+            ("limits.body_memory", self.limits.body_memory),
+            ("limits.answer_memory", self.limits.answer_memory),
+        ];
+        if let Some((key, bytes)) = memory.into_iter().find(|(_, bytes)| *bytes < MIN_BODY_MEMORY) {
             let remedy = format!("set it to {MIN_BODY_MEMORY} bytes or more");
-            return Err(error("limits.body_memory", problem, &remedy));
+            return Err(error(key, format!("it is {bytes}"), &remedy));
         }
         let has_none = self.fleet.secrets.is_empty() && !self.fleet.open;
         if has_none || self.fleet.secrets.len() > 2 {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::connection::Connections;
 use crate::dialect::Dialect;
 use crate::feed::Format;
+use crate::held_bodies::HeldBodies;
 use crate::key::FleetKeys;
 use crate::peer::PeerConnections;
 use crate::reservation::Reservations;
@@ -39,8 +40,12 @@
     pub arrivals: Mutex<Arrivals>,
     /// Slots of the local backend server that are held for requests of other daemons.
     pub reservations: Reservations,
-    /// Memory for long bodies that other daemons send.
+    /// Memory for long bodies of requests that other daemons and the local backend server send.
     pub bodies: BodyMemory,
+    /// Memory for long bodies of answers that other daemons hold for this one.
+    pub answers: BodyMemory,
+    /// Long bodies of answers that this daemon holds for others.
+    pub held_bodies: HeldBodies,
     /// Connections to the local backend server.
     pub server: Connections,
     /// Sends claims to the task that writes them to the store.
--- a/src/store.rs
+++ b/src/store.rs
@@ -17,7 +17,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::Uri;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -39,6 +39,10 @@
 /// is seen.
 const SILENCE: Duration = Duration::from_millis(300);
 
+/// Maximum size of the body of an answer, in bytes. Rows come in pages, and the largest objects have half
+/// of this.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
 /// A row of the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -404,9 +408,9 @@
             let problem = "it is of an earlier era, and the store has lost what it says".to_owned();
             return Err(StoreError::AnswerLost(problem));
         }
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| StoreError::AnswerLost(error.to_string()))?;
-        let reply = (self.wire.decode)(request, status, body.to_bytes())?;
+        let body = message::collect_body(response.into_body(), MAX_ANSWER_BYTES).await;
+        let body = body.map_err(StoreError::AnswerLost)?;
+        let reply = (self.wire.decode)(request, status, body)?;
         if let Reply::Rows(rows) = &reply {
             for row in &rows.unreadable {
                 self.unreadable.record(&row.key, row.version, &row.problem);
--- a/src/store/pools.rs
+++ b/src/store/pools.rs
@@ -14,6 +14,9 @@
 /// requests without traffic, so that connections are reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum size of the head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Kept connections, of which each request takes an idle one or opens another.
 pub(super) type Pool = HttpClient<HttpConnector, Full<Bytes>>;
 
@@ -46,6 +49,7 @@
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect_timeout));
     HttpClient::builder(TokioExecutor::new())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .build(connector)
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gypsumtack::connection::{AnswerHead, Connections, RequestError};
+use gypsumtack::body::BodyMemory;
+use gypsumtack::connection::{AnswerHead, BodyUse, Connections, RequestError};
 use gypsumtack::message::Request;
 use gypsumtack::time::Clock;
 use http::header::HOST;
@@ -18,6 +19,8 @@
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 const LIMIT: u64 = 1_000;
+/// Memory for the bodies of answers, in bytes.
+const MEMORY: usize = 8 << 20;
 
 /// Time within which an answer has to arrive.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -55,8 +58,12 @@
 }
 
 /// Takes every answer for the one of the request.
-fn any(_: &AnswerHead<'_>) -> bool {
-    true
+fn any(_: &AnswerHead<'_>) -> BodyUse {
+    BodyUse::Delivered
+}
+
+fn open_pool() -> Connections {
+    Connections::new(Clock::start(), BodyMemory::new(MEMORY))
 }
 
 /// Opens `count` connections, which then are idle.
@@ -72,7 +79,7 @@
 #[tokio::test]
 async fn a_request_is_not_repeated_on_every_idle_connection() {
     let (address, dropped) = start_dropping_backend().await;
-    let connections = Connections::new(Clock::start());
+    let connections = open_pool();
     open_idle(&connections, address, 8).await;
     let error = connections.send_request(address, request(), true, LIMIT, any).await.unwrap_err();
     assert!(matches!(error, RequestError::Disconnected(_)), "{error:?}");
@@ -84,7 +91,7 @@
 #[tokio::test]
 async fn non_resendable_request_skips_stale_connections() {
     let (address, dropped) = start_dropping_backend().await;
-    let connections = Connections::new(Clock::start());
+    let connections = open_pool();
     for _ in 0..3 {
         let answer = connections.send_request(address, request(), false, LIMIT, any).await.unwrap();
         assert_eq!(&answer.2[..], b"ok");
@@ -98,7 +105,7 @@
 #[tokio::test]
 async fn non_resendable_request_is_not_sent_again() {
     let (address, dropped) = start_dropping_backend().await;
-    let connections = Connections::new(Clock::start());
+    let connections = open_pool();
     connections.send_request(address, request(), false, LIMIT, any).await.unwrap();
     let error = connections.send_request(address, request(), false, LIMIT, any).await.unwrap_err();
     assert!(matches!(error, RequestError::Disconnected(_)), "{error:?}");
@@ -133,7 +140,7 @@
             );
         }
     });
-    let connections = Connections::new(Clock::start());
+    let connections = open_pool();
     let request = |method: Method, body: Vec<u8>| {
         let mut request = http::Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = method;
@@ -162,7 +169,7 @@
         request
     };
     let (address, dropped) = start_dropping_backend().await;
-    let connections = Connections::new(Clock::start());
+    let connections = open_pool();
     open_idle(&connections, address, 8).await;
     let error = connections.send_request(address, long(), true, LIMIT, any).await.unwrap_err();
     assert!(!matches!(error, RequestError::Unsent(_)), "{error:?}");
--- a/tests/early.rs
+++ b/tests/early.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gypsumtack::connection::Connections;
+use gypsumtack::body::BodyMemory;
+use gypsumtack::connection::{BodyUse, Connections};
 use gypsumtack::message::Request;
 use gypsumtack::sync::lock;
 use gypsumtack::time::Clock;
@@ -116,7 +117,8 @@
         let when = ["early", "early", "late", "never"][rng.random_range(0..4)];
         let length = LENGTHS[rng.random_range(0..LENGTHS.len())];
         let request = request(when, rng.random_range(b'a'..=b'z'), length);
-        let sending = connections.send_request(address, request, rng.random(), LIMIT, |_| true);
+        let sending =
+            connections.send_request(address, request, rng.random(), LIMIT, |_| BodyUse::Delivered);
         let patience = match when {
             "never" => rng.random_range(0..30),
             _ if rng.random_bool(0.3) => rng.random_range(0..10),
@@ -138,7 +140,7 @@
     for seed in SEEDS {
         let seen = Arc::new(Seen::default());
         let address = start(Arc::clone(&seen)).await;
-        let connections = Connections::new(Clock::start());
+        let connections = Connections::new(Clock::start(), BodyMemory::new(8 << 20));
         let rng = |caller| SmallRng::seed_from_u64(seed * CALLERS + caller);
         let callers = (0..CALLERS).map(|caller| send_requests(&connections, address, rng(caller)));
         let callers = futures::future::join_all(callers);
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -219,7 +219,7 @@
             }
             let Some((head, mut body)) = reading.take() else { break };
             let whole: Bytes = match body.read(&mut input, LIMIT) {
-                Ok(Progress::Complete(whole, _)) => whole,
+                Ok(Progress::Complete(whole)) => whole,
                 Ok(Progress::Input | Progress::Memory(_)) => {
                     reading = Some((head, body));
                     break;
--- a/tests/leftovers.rs
+++ b/tests/leftovers.rs
@@ -6,7 +6,8 @@
 use std::sync::mpsc;
 
 use bytes::Bytes;
-use gypsumtack::connection::Connections;
+use gypsumtack::body::BodyMemory;
+use gypsumtack::connection::{BodyUse, Connections};
 use gypsumtack::message::Request;
 use gypsumtack::time::Clock;
 use http_body_util::Full;
@@ -100,8 +101,10 @@
     for (name, leftover) in LEFTOVERS {
         for moment in [Moment::SameSegment, Moment::Idle] {
             let (address, gate) = start(leftover, moment);
-            let connections = Connections::new(Clock::start());
-            let ask = || connections.send_request(address, request(), false, LIMIT, |_| true);
+            let connections = Connections::new(Clock::start(), BodyMemory::new(8 << 20));
+            let ask = || {
+                connections.send_request(address, request(), false, LIMIT, |_| BodyUse::Delivered)
+            };
             let (_, _, body) = ask().await.unwrap();
             assert_eq!(body, "own");
             if moment == Moment::Idle {
