Pass nothing on after SIGTERM that cannot end before the daemon

Cause: every request on an open route counted as a call of the local instance, and calls are let in until the end. Nothing asked whether a request could end in the time left.

Evidence: a_callers_request_on_an_open_route_is_refused_once_its_daemon_has_left.

Change: a request on an open route may be a call only while a request runs here, and if it ends no later than the last of them. It is let in after the time to leave only if it can end: its caller's limit says so, or the route's requests have taken less lately. Calls of running requests still get through (calls_with_a_time_limit_are_served_...).

Why it works: a call cannot outlive the request that makes it, and the stop bounds what was taken before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,6 +32,10 @@
 /// to run the request.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// How much later than the request that makes it a downstream call may seem to end, since the call is read
+/// some time after its backend server sent it.
+const MAX_CALL_LAG: Duration = Duration::from_millis(500);
+
 /// Maximum length of an unmatched path in the text of its refusal, in characters.
 const MAX_PATH_CHARS: usize = 100;
 
@@ -74,7 +78,7 @@
     deadline: Time,
     route: Option<&'a Route>,
     customer: Option<CustomerId>,
-    /// Whether this is a downstream call of the local backend server.
+    /// Whether this may be a downstream call of the local backend server.
     is_downstream: bool,
 }
 
@@ -96,11 +100,10 @@
     let route_id = id;
     let route = policy.route_at(route_id);
     context.route = Some(route);
-    let deadline = context.deadline.min(context.start + route.deadline);
-    context.deadline = deadline.min(board.stop_deadline());
-    // In a dialect without tokens, downstream calls arrive on open routes.
-    context.is_downstream = route.open && shared.dialect.token.is_none();
-    if board.has_left() && !context.is_downstream {
+    let deadline = context.deadline;
+    context.deadline = deadline.min(context.start + route.deadline).min(board.stop_deadline());
+    context.is_downstream = is_downstream(shared, route, deadline);
+    if board.has_left() && !(context.is_downstream && can_end(board, route, deadline)) {
         return Err(Reason::Leaving);
     }
     context.customer = identify(&shared.dialect, policy, route, &message.headers)?;
@@ -119,6 +122,31 @@
     Ok(())
 }
 
+/// Whether a request may be a downstream call of the local backend server, for a caller that waits until
+/// `deadline`. In a dialect without tokens, nothing tells such a call from a caller's request on an open
+/// route, except that it ends with the request that makes it. It is never refused for overload, and
+/// counts as a call; docs/DESIGN.md, "Calls without a token", weighs what a wrong guess costs.
+fn is_downstream(shared: &Shared, route: &Route, deadline: Time) -> bool {
+    if !route.open || shared.dialect.token.is_some() {
+        return false;
+    }
+    let latest = shared.board.live.latest_deadline();
+    latest.is_some_and(|latest| deadline == Time::MAX || deadline <= latest + MAX_CALL_LAG)
+}
+
+/// Whether a request that is passed on during a graceful shutdown ends before the daemon does: by itself,
+/// as the requests of its route have done lately, or because its caller stops waiting at `deadline`.
+fn can_end(board: &Board, route: &Route, deadline: Time) -> bool {
+    let end = board.stop_deadline();
+    if deadline <= end {
+        return true;
+    }
+    let now = board.clock.now();
+    let tables = board.tables.load();
+    let longest = tables.routes.get(&route.name).map(|state| state.longest_duration(now));
+    now + longest.unwrap_or_default() <= end
+}
+
 /// Finds the customer by the key in the request, which is never forwarded. Returns `None` for a request
 /// without a known key on an open route.
 fn identify(
@@ -315,6 +343,11 @@
     board.metrics.requests.get_or_create(&labels).inc();
     let span = board.clock.now().since(context.start);
     board.metrics.request_seconds.observe(span.as_secs_f64());
+    if let (Some(route), Outcome::Ran) = (context.route, outcome)
+        && let Some(state) = board.tables.load().routes.get(&route.name)
+    {
+        state.record_duration(span, board.clock.now());
+    }
     let Some(reason) = reason else { return };
     log_refusal(board, context, &labels, outcome, reason, span);
     let entry = journal::Entry::new(&context.id, &board.settings.vm, "entry", outcome);
--- a/src/live.rs
+++ b/src/live.rs
@@ -83,6 +83,15 @@
         lock(self.shard(token)).get(&token).cloned()
     }
 
+    /// Returns when the last of the running requests' callers stops waiting, or `None` if no request is
+    /// running.
+    pub fn latest_deadline(&self) -> Option<Time> {
+        let latest = |shard: &Mutex<BTreeMap<_, Arc<LiveRequest>>>| {
+            lock(shard).values().map(|live| live.deadline).max()
+        };
+        self.shards.iter().filter_map(latest).max()
+    }
+
     /// Returns the number of running requests.
     pub fn len(&self) -> usize {
         self.shards.iter().map(|shard| lock(shard).len()).sum()
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -25,6 +25,9 @@
 /// Interval at which each instance is asked which services requests of a route reach.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Length of a window over which the longest duration of a route's requests is known.
+const DURATION_WINDOW: Duration = Duration::from_secs(30);
+
 /// Slot-seconds per request below which a route counts as not reaching a service.
 const MIN_WORK_S: f64 = 0.000_5;
 
@@ -137,6 +140,27 @@
 pub struct RouteState {
     state: Mutex<RouteStats>,
     retries: Mutex<RouteRetries>,
+    durations: Mutex<Durations>,
+}
+
+/// The longest durations of requests that ran, in this window and in the one before.
+#[derive(Debug, Default)]
+struct Durations {
+    start: Time,
+    current: Duration,
+    previous: Duration,
+}
+
+impl Durations {
+    fn advance(&mut self, now: Time) {
+        let windows = now.since(self.start).as_micros() / DURATION_WINDOW.as_micros();
+        if windows == 0 {
+            return;
+        }
+        self.previous = if windows == 1 { self.current } else { Duration::ZERO };
+        self.current = Duration::ZERO;
+        self.start = now;
+    }
 }
 
 /// Retries of a route's requests at this daemon.
@@ -184,6 +208,20 @@
         lock(&self.state).demand.record(customer, now);
     }
 
+    /// Records how long a request took that ran.
+    pub fn record_duration(&self, span: Duration, now: Time) {
+        let mut durations = lock(&self.durations);
+        durations.advance(now);
+        durations.current = durations.current.max(span);
+    }
+
+    /// Returns how long requests have taken at most lately; zero if none has run.
+    pub fn longest_duration(&self, now: Time) -> Duration {
+        let mut durations = lock(&self.durations);
+        durations.advance(now);
+        durations.current.max(durations.previous)
+    }
+
     /// Whether the instance on `vm` should report again which services requests of this route reach.
     pub fn should_request_reached(&self, vm: &str, now: Time) -> bool {
         let mut state = lock(&self.state);
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -160,3 +160,59 @@
     assert!(caller.receive().await.is_some());
     stop.await.unwrap();
 }
+
+/// Guards against a request on an open route that is taken after the stop has begun, passed on, and broken
+/// off when its daemon ends (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_callers_request_on_an_open_route_is_refused_once_its_daemon_has_left() {
+    let scene = Scene::start(Duration::from_millis(1_200), Ending::Status(200)).await;
+    let board = scene.daemon.board().clone();
+    let (mut running, mut caller) = (scene.connect().await, scene.connect().await);
+    let address = board.settings.listen.callers;
+    let deadline = "x-deadline-ms: 5000\r\ncontent-length: 0\r\n";
+    running.send("GET", "/front", "x-deadline-ms: 5000\r\n").await;
+    until_arrived(&scene.front, 1).await;
+    let (fleet, stopping) = scene.stop().await;
+    // While a request runs whose calls have to get through.
+    caller.send("POST", "/open", deadline).await;
+    let (status, head) = caller.receive().await.expect("an answer");
+    assert_eq!(status, 503, "{head}");
+    assert!(head.contains("x-reason: leaving") && head.contains("connection: close"), "{head}");
+    assert_eq!(running.receive().await.expect("an answer").0, 200);
+    // While no request runs that could make a call, though another one is still being answered.
+    until("the request has ended", || board.live.is_empty()).await;
+    if let Ok(stream) = TcpStream::connect(address).await {
+        let mut late = Caller { stream };
+        late.send("POST", "/open", "x-deadline-ms: 300\r\ncontent-length: 0\r\n").await;
+        assert!(late.receive().await.is_none_or(|(status, _)| status == 503));
+    }
+    assert_eq!(fleet.begun(), 0);
+    stopping.await.unwrap();
+}
+
+/// Guards against a call that is refused although the request that makes it is running, and against one that
+/// is passed on although it cannot end before its daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_with_a_time_limit_are_served_after_their_daemon_has_left_while_they_can_end() {
+    let scene = Scene::start(Duration::from_millis(1_500), Ending::Status(200)).await;
+    let board = scene.daemon.board().clone();
+    let slow = |_: &Arrival| (Duration::from_millis(400), Ending::Status(200));
+    let deep = Recorder::start(board.clock, slow).await;
+    scene.fleet.replace_backend(0, deep.address).await;
+    let (mut running, mut call) = (scene.connect().await, scene.connect().await);
+    // The daemon learns how long requests of the route take.
+    call.send("GET", "/open", "").await;
+    assert_eq!(call.receive().await.expect("an answer").0, 200);
+    running.send("GET", "/front", "x-deadline-ms: 60000\r\n").await;
+    until_arrived(&scene.front, 1).await;
+    let left = scene.front.arrivals()[0].time_left_ms.unwrap();
+    let end = Duration::from_millis(LEAVE_MS + STOP_MS);
+    assert!(Duration::from_millis(left) > end / 2, "{left} ms");
+    let (_fleet, stopping) = scene.stop().await;
+    // The call ends with the request that makes it, which is later than the daemon does.
+    call.send("GET", "/open", &format!("x-deadline-ms: {}\r\n", left - 200)).await;
+    assert_eq!(call.receive().await.expect("an answer").0, 200);
+    assert_eq!(running.receive().await.expect("an answer").0, 200);
+    assert_eq!(deep.arrivals().len(), 2);
+    stopping.await.unwrap();
+}
