Hold the memory of a request's body until it is answered

Memory was released as soon as a body had been written to the instance, while it used to be held until the answer, which also bounds what the instance holds.

Change: both holders keep a reference to the body until the answer.

--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -85,8 +85,10 @@
         };
         let time_left = Duration::from_micros(envelope.time_left_us);
         let body = attach_memory(message.body, admission.take_memory());
-        let message = Message { body, ..message };
+        let message = Message { body: body.clone(), ..message };
         let answer = backend::run_admitted(&self.shared, envelope, message, admission).await;
+        // Also bounds what the backend server holds until it answers.
+        drop(body);
         held_bodies::hold_long(&self.shared, answer, time_left)
     }
 
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -361,9 +361,12 @@
             Err(reason) => return self.refuse_request(reason, bodiless),
         };
         let (clock, waited) = (self.clock, self.clock.now().since(received));
+        let body = message.body.clone();
         let handling = (self.hooks.handler)(id.clone(), message, waited);
         let task = tokio::spawn(async move {
             let answer = handling.await;
+            // Also bounds what the backend server holds until it answers.
+            drop(body);
             (answer, clock.now())
         });
         let task = AbortOnDropHandle::new(task);
