Notice a caller that leaves while its connection is not read

Cause: a connection learned of its end only by reading, and it is not read after a request with Connection: close or HTTP/1.0, after a refusal, with a full input buffer, while a body waits for memory, and while it stops.

Change: while a connection is not read, it waits until the socket reports the end of its input. Why it works: the socket reports that also while unread bytes lie in it.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -15,7 +15,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
@@ -87,6 +87,8 @@
 enum Event {
     /// Input was read.
     Read(std::io::Result<usize>),
+    /// The caller has closed the connection while it is not read.
+    Closed,
     /// Output was written.
     Written(std::io::Result<usize>),
     /// The memory for the body that is being read was reserved.
@@ -154,7 +156,7 @@
                 .next_event(&mut stop, may_read, stopping.then_some(stop_deadline), last_progress)
                 .await;
             match event {
-                Event::Read(Ok(0) | Err(_)) | Event::Written(Err(_)) => return,
+                Event::Read(Ok(0) | Err(_)) | Event::Closed | Event::Written(Err(_)) => return,
                 Event::TimedOut if receives_body && !self.read_closed => {
                     last_progress = self.clock.now();
                     self.refuse_slow_body();
@@ -228,6 +230,13 @@
                 ReadState::Head | ReadState::Complete(_) => std::future::pending().await,
             }
         };
+        let read = async {
+            if may_read {
+                return Event::Read(self.reader.read_buf(&mut self.input).await);
+            }
+            until_closed(&self.reader).await;
+            Event::Closed
+        };
         let written = async {
             match self.output.is_empty() {
                 true => self.writer.write_buf(&mut self.long_body).await,
@@ -242,7 +251,7 @@
             }
         };
         tokio::select! {
-            read = self.reader.read_buf(&mut self.input), if may_read => Event::Read(read),
+            event = read => event,
             reservation = reserved => Event::Reserved(reservation),
             answer = answered, if may_answer => Event::Answered(answer),
             written = written, if has_output => Event::Written(written),
@@ -493,6 +502,16 @@
     }
 }
 
+/// Waits until the other side has closed the connection. Unread input, which the connection may have while
+/// it is not read, does not hide that.
+async fn until_closed(reader: &OwnedReadHalf) {
+    // Of the two kinds of readiness that this interest stands for, only the end of the input is registered.
+    let ready = reader.ready(Interest::PRIORITY).await;
+    if ready.is_ok_and(|ready| !ready.is_read_closed()) {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Returns a task that has its answer already.
 fn completed_task(answer: Answer, clock: Clock) -> AbortOnDropHandle<(Answer, Time)> {
     AbortOnDropHandle::new(tokio::spawn(async move { (answer, clock.now()) }))
