Keep an acknowledged withdrawal through an end of the daemon

Cause: which runs have left was kept in the memory of one process, whose successor took the first announcement that it heard for the newest.

A daemon that starts uses no announced run before it has asked the store and a peer, 1.5 s at most.

Why it works: a late announcement meets a daemon that knows what its predecessor acknowledged, however often and whenever it comes.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -115,6 +115,7 @@
         domain: format!("domain-{}", index % DOMAINS),
         service: format!("service-{}", index % SERVICES),
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         slots: 150,
@@ -144,6 +145,7 @@
         roster: 9,
         age_ms: 1_500,
         suspects: Vec::new(),
+        withdrawn: Vec::new(),
     };
     let bytes = codec::encode(&sent).unwrap_or_default();
     if let Ok(received) = codec::decode::<Heartbeat>(&bytes) {
--- a/src/announcement.rs
+++ b/src/announcement.rs
@@ -53,8 +53,7 @@
     /// Identifies this run of the backend server in the fleet; `None` if it announces no id, since it
     /// cannot be told from its successor then.
     pub fn run(&self) -> Option<u64> {
-        let run = format!("{}/{}", self.id, self.started);
-        (!self.id.is_empty()).then(|| xxh3_64(run.as_bytes()))
+        (!self.id.is_empty()).then(|| run(&self.id, self.started))
     }
 
     /// Checks that an announcement can be true: that its values are possible, and that it names the service
@@ -104,6 +103,11 @@
     }
 }
 
+/// Identifies the run of a backend server with this id and start in the fleet.
+pub(crate) fn run(id: &str, started: u64) -> u64 {
+    xxh3_64(format!("{id}/{started}").as_bytes())
+}
+
 /// Why an announcement names no backend server to use.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Rejection {
--- a/src/board.rs
+++ b/src/board.rs
@@ -39,11 +39,16 @@
 use crate::tables::Tables;
 use crate::time::{Clock, Throttle, Time};
 use crate::timings::Timings;
+use crate::withdrawals::Withdrawals;
 
 /// Maximum time that a daemon waits after its start to learn from a peer which document is in force. A
 /// peer that does not answer within one round of heartbeats is unreachable.
 const PEER_VERSION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum time that a daemon waits after its start until the store has told which runs of its backend
+/// server have withdrawn. By then all peers know of what one of them was told.
+const CONSULT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// All state that the tasks of one daemon share.
 #[derive(Debug)]
 pub struct Board {
@@ -68,6 +73,8 @@
     pub backend: ArcSwapOption<BackendServer>,
     /// The runs of the local backend server, to ignore announcements that arrive late.
     pub(crate) runs: Mutex<Runs>,
+    /// The runs of the local backend server that have withdrawn, as others are told of them.
+    pub withdrawals: Withdrawals,
     /// Admission to the local backend server.
     pub gate: Arc<Gate>,
     /// Requests that are running on the local backend server.
@@ -132,6 +139,8 @@
     introduced: AtomicBool,
     /// Whether the members were read from the store.
     scanned: AtomicBool,
+    /// Whether the store was asked for what this VM's last daemon has left there, with or without success.
+    consulted: AtomicBool,
     /// Set once, when requests may be served under the document for the first time.
     current: AtomicBool,
     /// Time at which the first document was in force, in microseconds; `u64::MAX` before.
@@ -153,6 +162,7 @@
             identity: ArcSwap::from_pointee(settings.identity()),
             backend: ArcSwapOption::empty(),
             runs: Mutex::default(),
+            withdrawals: Withdrawals::default(),
             gate: Arc::new(Gate::new(clock, longest_wait)),
             live: LiveTable::default(),
             roster: ArcSwap::default(),
@@ -184,6 +194,7 @@
             first_start: AtomicBool::new(false),
             introduced: AtomicBool::new(false),
             scanned: AtomicBool::new(false),
+            consulted: AtomicBool::new(false),
             current: AtomicBool::new(false),
             has_document: AtomicU64::new(u64::MAX),
             settings,
@@ -319,7 +330,7 @@
         let since = self.has_document.fetch_min(now.as_micros(), Ordering::AcqRel);
         let heard =
             self.introduced.load(Ordering::Acquire) && self.newest_document.version() <= version;
-        let alone = self.scanned.load(Ordering::Acquire) && self.read_view(View::len) <= 1;
+        let alone = self.is_alone();
         let waited = now.since(Time::from_micros(since)) >= PEER_VERSION_TIMEOUT;
         let current = heard || alone || waited;
         if current {
@@ -329,6 +340,33 @@
         current
     }
 
+    /// Whether no other member is known, and the store knows none either.
+    fn is_alone(&self) -> bool {
+        self.scanned.load(Ordering::Acquire) && self.read_view(View::len) <= 1
+    }
+
+    /// Uses announced runs of the local backend server from the moment at which the withdrawals before the
+    /// start are known: the store was asked, and a peer has answered. Waits no longer than `CONSULT_TIMEOUT`
+    /// for the store, and `PEER_VERSION_TIMEOUT` for a peer.
+    pub(crate) fn check_recall(&self) {
+        if self.withdrawals.are_recalled() {
+            return;
+        }
+        let heard = self.introduced.load(Ordering::Acquire) || self.is_alone();
+        let age = self.clock.now().since(Time::ZERO);
+        let consulted = self.consulted.load(Ordering::Acquire) || age >= CONSULT_TIMEOUT;
+        let waited = age >= PEER_VERSION_TIMEOUT;
+        if ((heard && consulted) || waited) && self.withdrawals.end_recall() {
+            tracing::info!(event = "withdrawals-recalled", vm = self.settings.vm, heard, consulted);
+            self.publish_self();
+        }
+    }
+
+    /// Records that the store was asked for the last record of this VM.
+    pub(crate) fn mark_consulted(&self) {
+        self.consulted.store(true, Ordering::Release);
+    }
+
     /// Records that a peer has reported the versions of its document and roster.
     pub fn mark_introduced(&self) {
         self.introduced.store(true, Ordering::Release);
@@ -365,7 +403,7 @@
         let backend = self.backend.load();
         let state = match backend.as_ref() {
             _ if self.is_leaving() => State::Leaving,
-            Some(backend) if !backend.draining => State::Ready,
+            Some(backend) if !backend.draining && self.withdrawals.are_recalled() => State::Ready,
             _ => State::Waiting,
         };
         Record {
@@ -378,6 +416,7 @@
             service: backend.as_ref().map(|b| b.service.clone()).unwrap_or_default(),
             slots: backend.as_ref().map_or(0, |b| self.gate.offered_slots(b.slots).min(MAX_SLOTS)),
             run: backend.as_ref().and_then(|backend| backend.run()),
+            withdrawn: self.withdrawals.told(),
             sheds: self.shedding.is_shedding(),
             limit: lock(&self.noticed).limit,
             epoch: self.roster.load().epoch,
--- a/src/board/shutdown.rs
+++ b/src/board/shutdown.rs
@@ -43,7 +43,9 @@
     /// When it drains or withdraws, or the daemon shuts down, it still accepts them for `leave_ms`,
     /// until the other daemons have received the change.
     pub fn is_ready(&self) -> bool {
-        self.backend.load().is_some() && self.clock.now() < self.closing_time()
+        self.backend.load().is_some()
+            && self.withdrawals.are_recalled()
+            && self.clock.now() < self.closing_time()
     }
 
     pub(crate) fn schedule_closing(&self) {
@@ -52,6 +54,11 @@
         self.closing.fetch_min(closing, Ordering::AcqRel);
     }
 
+    /// Lets the local backend server accept no new requests from now on.
+    pub(crate) fn close_now(&self) {
+        self.closing.fetch_min(self.clock.now().as_micros(), Ordering::AcqRel);
+    }
+
     fn closing_time(&self) -> Time {
         Time::from_micros(self.closing.load(Ordering::Acquire))
     }
--- a/src/controllers.rs
+++ b/src/controllers.rs
@@ -57,6 +57,9 @@
 /// member.
 const RENEW_DELAY_CHECKS: u32 = 1;
 
+/// Mean pause before the store is told of a withdrawal again.
+const TELL_AGAIN_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time without contact after which a failure domain, or the store, counts as unreachable.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -74,6 +77,7 @@
         let due = board.clock.now() + ADMISSION_INTERVAL;
         tokio::time::sleep(ADMISSION_INTERVAL).await;
         board.record_timer_lag(board.clock.now().since(due));
+        board.check_recall();
         let (policy, tables) = (board.policy.load_full(), board.tables.load_full());
         board.feedback.set_reporters(board.read_view(View::len));
         let due = board.feedback.due_reports(&policy, &tables, board.clock.now());
@@ -212,6 +216,7 @@
         if !registered {
             let first_contact = shared.store.era().number == 0;
             registered = register(&shared).await.is_ok();
+            shared.board.mark_consulted();
             if first_contact {
                 era.borrow_and_update();
             }
@@ -245,11 +250,11 @@
 
 /// Writes this VM's row, unless a daemon of the same name with a later start has written it.
 async fn register(shared: &Shared) -> Result<(), StoreError> {
-    let record = shared.board.record();
-    let key = format!("{MEMBERS}{}", record.vm);
+    let key = format!("{MEMBERS}{}", shared.board.settings.vm);
     let mut version = 0;
     // Most VMs have no row yet, so try the write before reading the row.
     for _ in 0..2 {
+        let record = shared.board.record();
         let transaction = Transaction::default().check(&key, version).put(&key, &record);
         if let Commit::Done(_) = shared.store.commit(&transaction).await? {
             if version == 0 {
@@ -258,9 +263,11 @@
             return Ok(());
         }
         let Some(row) = shared.store.row(&key).await? else { continue };
-        let old = decode_member(shared, &row);
-        if old.is_some_and(|old| old.incarnation > record.incarnation) {
-            return Ok(());
+        if let Some(old) = decode_member(shared, &row) {
+            shared.board.recall(&old.withdrawn);
+            if old.incarnation > record.incarnation {
+                return Ok(());
+            }
         }
         version = row.version;
     }
@@ -269,6 +276,37 @@
     )))
 }
 
+/// Tells peers and the store of each withdrawal of the local backend server. Either keeps it through an end of
+/// this daemon; both are told, since each may be away or lose it.
+pub async fn withdrawals(shared: Arc<Shared>) {
+    let withdrawals = &shared.board.withdrawals;
+    let mut changes = withdrawals.watch();
+    loop {
+        let change = withdrawals.changed(&mut changes).await;
+        let tell_store = async {
+            let stored = register(&shared).await;
+            match &stored {
+                Ok(()) => withdrawals.mark_known(change),
+                Err(error) => record_failure(&shared, error),
+            }
+            stored.is_ok()
+        };
+        let tell_peers = async {
+            let peers = heartbeat_round(&shared, UPDATE_PEERS).await.len();
+            if peers > 0 {
+                withdrawals.mark_known(change);
+            }
+            peers
+        };
+        let (stored, peers) = tokio::join!(tell_store, tell_peers);
+        tracing::info!(event = "withdrawal-told", vm = shared.board.settings.vm, stored, peers);
+        if !stored {
+            tokio::time::sleep(jitter(TELL_AGAIN_PAUSE)).await;
+            changes.mark_changed();
+        }
+    }
+}
+
 /// Decodes a member's row. Returns `None` if it does not hold a valid record of the VM that it is named
 /// after.
 fn decode_member(shared: &Shared, row: &Row) -> Option<Record> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -156,6 +156,7 @@
             claims: sender,
             board,
         });
+        shared.board.withdrawals.await_recall();
         shared.board.publish_self();
         let listener_tasks = ListenerTasks::open(&shared, listeners, adapter.operators)?;
         let tasks = vec![
@@ -167,6 +168,7 @@
             spawn_background("heartbeats", &shared, controllers::heartbeats),
             spawn_background("registration", &shared, controllers::registration),
             spawn_background("rosters", &shared, controllers::rosters),
+            spawn_background("withdrawals", &shared, controllers::withdrawals),
         ];
         let own = &shared.board.settings;
         tracing::info!(event = "started", vm = own.vm, callers = %own.listen.callers);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -92,6 +92,7 @@
 pub mod timings;
 pub mod unreadable;
 pub mod wire;
+pub mod withdrawals;
 
 pub use crate::board::Board;
 pub use crate::daemon::Daemon;
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -19,7 +19,7 @@
 use crate::pipeline::Delivery;
 use crate::quarantine::{CrashId, CrashStatus, Fingerprint, Quarantine};
 use crate::reason::Reason;
-use crate::runs::{Verdict, Withdrawal};
+use crate::runs::{Verdict, Withdrawal, Withdrawn};
 use crate::sync::lock;
 use crate::time::{self, Time};
 
@@ -86,6 +86,7 @@
         }
         if backend.draining {
             self.schedule_closing();
+            self.tell_leaving(&backend);
         } else if !self.is_leaving() {
             self.closing.store(u64::MAX, Ordering::Release);
         }
@@ -116,6 +117,9 @@
         let mut runs = lock(&self.runs);
         let withdrawal = runs.withdraw(id, started, time::unix_millis());
         tracing::info!(event = "backend-withdrawn", id, started, ?withdrawal);
+        if let Some(withdrawn) = runs.withdrawn().next_back().filter(|known| known.id == id) {
+            self.withdrawals.add(std::slice::from_ref(withdrawn));
+        }
         match withdrawal {
             Withdrawal::Newest => {
                 if let Some(known) = self.backend.load_full() {
@@ -123,11 +127,51 @@
                 }
                 Ok(())
             }
-            Withdrawal::Unannounced => Ok(()),
+            Withdrawal::Unannounced => {
+                self.publish_self();
+                Ok(())
+            }
             Withdrawal::OtherRun => Err(Rejection::OtherRun),
         }
     }
 
+    /// Records runs that have withdrawn or drained beside an earlier daemon of this VM, as the store or a peer
+    /// tells. If the local backend server is one of them, it gets no more requests.
+    pub fn recall(&self, withdrawn: &[Withdrawn]) {
+        if withdrawn.is_empty() {
+            return;
+        }
+        let mut runs = lock(&self.runs);
+        let told = self.withdrawals.told();
+        let is_new =
+            |left: &&Withdrawn| !told.contains(left) && !runs.withdrawn().any(|run| run == *left);
+        let withdrawn: Vec<Withdrawn> = withdrawn.iter().filter(is_new).cloned().collect();
+        if withdrawn.is_empty() {
+            return;
+        }
+        runs.recall(&withdrawn);
+        self.withdrawals.add(&withdrawn);
+        let known = self.backend.load_full();
+        let has_left = |known: &Arc<BackendServer>| {
+            withdrawn.iter().any(|left| left.contains(known)) && !known.draining
+        };
+        tracing::info!(event = "withdrawals-learned", vm = self.settings.vm, ?withdrawn);
+        match known.filter(has_left) {
+            Some(known) => {
+                self.close_now();
+                self.close_backend((*known).clone());
+            }
+            None => self.publish_self(),
+        }
+    }
+
+    /// Lets others know that a run of the local backend server is leaving.
+    fn tell_leaving(&self, backend: &BackendServer) {
+        if let Some(withdrawn) = Withdrawn::of(backend) {
+            self.withdrawals.add(&[withdrawn]);
+        }
+    }
+
     /// The service of the local backend server: that of the settings, else the announced one. Empty while
     /// neither is known.
     pub fn own_service(&self) -> String {
@@ -160,6 +204,7 @@
     /// Lets the local backend server drain, although it has not announced that.
     pub(crate) fn close_backend(&self, backend: BackendServer) {
         self.schedule_closing();
+        self.tell_leaving(&backend);
         self.backend.store(Some(Arc::new(BackendServer { draining: true, ..backend })));
         self.publish_self();
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -13,7 +13,9 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
+use crate::runs::Withdrawn;
 use crate::time::Time;
+use crate::withdrawals::{self, MAX_TOLD};
 
 /// Maximum number of records of other VMs that a heartbeat carries besides its sender's own.
 pub const MAX_RUMORS: usize = 8;
@@ -77,6 +79,9 @@
     /// The run of its backend server; see [`BackendServer::run`](crate::announcement::BackendServer::run).
     #[serde(default)]
     pub run: Option<u64>,
+    /// Runs of its backend servers that have withdrawn or drain, also before its daemon started.
+    #[serde(default)]
+    pub withdrawn: Vec<Withdrawn>,
     /// Whether its backend server is shedding all requests that it is sent.
     pub sheds: bool,
     /// Requests per second that its backend server takes, if it names a limit. `slots` then has as many
@@ -134,6 +139,12 @@
         if self.limit.is_some_and(|limit| !limit.is_finite() || limit < 0.0) {
             return Err("the limit is no rate".to_owned());
         }
+        if self.withdrawn.len() > MAX_TOLD {
+            return Err(format!(
+                "{} withdrawn runs are more than {MAX_TOLD}",
+                self.withdrawn.len()
+            ));
+        }
         if self.incarnation > MAX_INCARNATION {
             return Err(format!("incarnation {} lies in the future", self.incarnation));
         }
@@ -188,11 +199,14 @@
     members: BTreeMap<String, Member>,
     /// Runs of backend servers that have said in an answer that they are leaving, and when.
     leaving: BTreeMap<u64, Time>,
+    /// Runs that have withdrawn beside each VM, for a daemon there that starts again.
+    withdrawn: BTreeMap<String, Vec<Withdrawn>>,
 }
 
 impl View {
     /// Merges a record. Returns whether it superseded the existing one.
     pub fn merge(&mut self, record: Record, now: Time) -> bool {
+        self.remember_withdrawn(&record, now);
         let limit = self.forward_limit();
         let old = self.members.get(&record.vm);
         if old.is_some_and(|old| old.record.rank() >= record.rank()) {
@@ -246,6 +260,24 @@
         self.leaving.insert(run, now);
     }
 
+    /// Keeps what a record tells of withdrawn runs, also if it is an old one: its VM may have told no other
+    /// since. They get no requests from here.
+    fn remember_withdrawn(&mut self, record: &Record, now: Time) {
+        if record.withdrawn.is_empty() {
+            return;
+        }
+        let known = self.withdrawn.entry(record.vm.clone()).or_default();
+        if withdrawals::merge(known, &record.withdrawn) {
+            let runs: Vec<u64> = record.withdrawn.iter().filter_map(Withdrawn::run).collect();
+            runs.into_iter().for_each(|run| self.mark_leaving(run, now));
+        }
+    }
+
+    /// Returns the runs that have withdrawn beside the VM named `vm`, as far as it has told.
+    pub fn withdrawn(&self, vm: &str) -> Vec<Withdrawn> {
+        self.withdrawn.get(vm).cloned().unwrap_or_default()
+    }
+
     /// Whether the backend server of a member has said that it is leaving.
     pub fn is_leaving(&self, record: &Record) -> bool {
         record.run.is_some_and(|run| self.leaving.contains_key(&run))
--- a/src/ops.rs
+++ b/src/ops.rs
@@ -95,7 +95,12 @@
             return text(StatusCode::BAD_REQUEST, problem);
         }
     };
-    match shared.board.announce(backend) {
+    let draining = backend.draining;
+    let announced = shared.board.announce(backend);
+    if draining {
+        shared.board.withdrawals.until_told().await;
+    }
+    match announced {
         Ok(()) => text(StatusCode::OK, "ok\n".to_owned()),
         Err(rejection) => text(rejection_status(&rejection), format!("{rejection}\n")),
     }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -267,7 +267,7 @@
 
     /// Exchanges heartbeats with one peer. Returns whether it answered.
     pub async fn exchange_heartbeat(&self, shared: &Shared, member: &Record) -> bool {
-        let heartbeat = own_heartbeat(shared);
+        let heartbeat = own_heartbeat(shared, &member.vm);
         let send = |client: PeerClient, context| {
             let heartbeat = heartbeat.clone();
             async move { client.heartbeat(context, heartbeat).await }
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -7,6 +7,7 @@
 use crate::member::Record;
 use crate::quarantine::SuspectReport;
 use crate::reported::Report;
+use crate::runs::Withdrawn;
 use crate::shared::Shared;
 use crate::sync::lock;
 
@@ -26,10 +27,13 @@
     pub age_ms: u32,
     /// Reports of requests that crashed backend servers.
     pub suspects: Vec<SuspectReport>,
+    /// Runs that have withdrawn beside the receiver, as far as the sender knows, since the receiver may have
+    /// started again.
+    pub withdrawn: Vec<Withdrawn>,
 }
 
-/// Returns the heartbeat of this daemon.
-pub(super) fn own_heartbeat(shared: &Shared) -> Heartbeat {
+/// Returns the heartbeat of this daemon for the one of `receiver`.
+pub(super) fn own_heartbeat(shared: &Shared, receiver: &str) -> Heartbeat {
     let board = &shared.board;
     let age = board.clock.now().since(board.confirmed());
     Heartbeat {
@@ -39,6 +43,7 @@
         roster: board.roster.load().version,
         age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         suspects: lock(&board.quarantine).recent_reports(board.clock.now()),
+        withdrawn: board.read_view(|view| view.withdrawn(receiver)),
     }
 }
 
@@ -65,6 +70,7 @@
     if suspected {
         board.publish_self();
     }
+    board.recall(&heartbeat.withdrawn);
     // The store's confirmation counts only if the sender's document and roster are at least as new as
     // the ones held here.
     let current = heartbeat.document >= board.policy.load().version
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -93,8 +93,9 @@
     }
 
     async fn heartbeat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
+        let sender = heartbeat.record.vm.clone();
         heartbeat::merge_heartbeat(&self.shared, heartbeat);
-        heartbeat::own_heartbeat(&self.shared)
+        heartbeat::own_heartbeat(&self.shared, &sender)
     }
 
     async fn borrow(self, _: context::Context, request: LoanRequest) -> LoanResponse {
--- a/src/runs.rs
+++ b/src/runs.rs
@@ -9,7 +9,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::announcement::BackendServer;
+use serde::{Deserialize, Serialize};
+
+use crate::announcement::{self, BackendServer};
 use crate::time::Time;
 
 /// Time after which no announcement still arrives that was sent before another one that has arrived.
@@ -74,12 +76,35 @@
     }
 }
 
-/// Runs of one id that have withdrawn: those whose starts lie in a range.
-#[derive(Debug, Clone, PartialEq)]
-struct Withdrawn {
-    id: String,
-    first: u64,
-    last: u64,
+/// Runs of one id that have withdrawn or drain: those whose starts lie in a range. A daemon tells the others
+/// and the store of those beside it, and recalls them when it starts again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdrawn {
+    /// The id.
+    pub id: String,
+    /// The first start, in milliseconds since the Unix epoch.
+    pub first: u64,
+    /// The last start.
+    pub last: u64,
+}
+
+impl Withdrawn {
+    /// Returns the run of `backend`; `None` if it cannot be told from later ones of its id.
+    pub fn of(backend: &BackendServer) -> Option<Self> {
+        let BackendServer { id, started, .. } = backend;
+        let is_known = !id.is_empty() && *started > 0;
+        is_known.then(|| Self { id: id.clone(), first: *started, last: *started })
+    }
+
+    /// Whether `backend` is one of these runs.
+    pub fn contains(&self, backend: &BackendServer) -> bool {
+        self.id == backend.id && (self.first..=self.last).contains(&backend.started)
+    }
+
+    /// Identifies the run in the fleet, as [`BackendServer::run`] does; `None` if there are several.
+    pub fn run(&self) -> Option<u64> {
+        (self.first == self.last).then(|| announcement::run(&self.id, self.first))
+    }
 }
 
 /// The runs of the local backend server that have announced themselves.
@@ -166,19 +191,31 @@
             None if started == 0 => (0, unix_ms, Withdrawal::Unannounced),
             None => (started, started, Withdrawal::Unannounced),
         };
-        let withdrawn = Withdrawn { id: id.to_owned(), first, last };
+        self.remember(Withdrawn { id: id.to_owned(), first, last });
+        withdrawal
+    }
+
+    /// Records runs that had withdrawn or drained before this daemon started.
+    pub fn recall(&mut self, withdrawn: &[Withdrawn]) {
+        withdrawn.iter().for_each(|known| self.remember(known.clone()));
+    }
+
+    /// Returns the runs that have withdrawn, the last one at the end.
+    pub fn withdrawn(&self) -> impl DoubleEndedIterator<Item = &Withdrawn> {
+        self.withdrawn.iter()
+    }
+
+    fn remember(&mut self, withdrawn: Withdrawn) {
         self.withdrawn.retain(|known| *known != withdrawn);
         self.withdrawn.push_back(withdrawn);
         if self.withdrawn.len() > MAX_WITHDRAWN {
             self.withdrawn.pop_front();
         }
-        withdrawal
     }
 
     /// Whether the run of an announcement has withdrawn.
     fn has_withdrawn(&self, backend: &BackendServer) -> bool {
-        let is_among = |runs: &Withdrawn| (runs.first..=runs.last).contains(&backend.started);
-        self.withdrawn.iter().any(|runs| runs.id == backend.id && is_among(runs))
+        self.withdrawn.iter().any(|runs| runs.contains(backend))
     }
 
     /// Whether a later run of the same id has withdrawn. The announcement is then a delayed one, unless the
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -262,6 +262,7 @@
         domain: "a".into(),
         service: "s".into(),
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         slots: 1,
--- a/tests/following.rs
+++ b/tests/following.rs
@@ -129,6 +129,7 @@
         service: "deep".to_owned(),
         slots: 1,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 0,
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -34,6 +34,7 @@
         service: "lists".to_owned(),
         slots: 10,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 1,
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -88,6 +88,7 @@
         service: "deep".to_owned(),
         slots: 4,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 0,
--- a/tests/odd_records.rs
+++ b/tests/odd_records.rs
@@ -43,6 +43,7 @@
         let [peers, control, operators] = ports.map(address);
         Record {
             vm, incarnation, counter, state, suspect, domain, service, slots, run, sheds, limit, epoch,
+            withdrawn: Vec::new(),
             peers, control, operators,
         }
     }
@@ -183,6 +184,7 @@
         service: "s".to_owned(),
         slots: 1,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 0,
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -135,6 +135,7 @@
         service: "lists".to_owned(),
         slots: 40,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 1,
--- a/tests/rosters.rs
+++ b/tests/rosters.rs
@@ -441,6 +441,7 @@
         service: String::new(),
         slots: 1,
         run: None,
+        withdrawn: Vec::new(),
         sheds: false,
         limit: None,
         epoch: 0,
