Send long bodies between daemons in parts

Cause: the body was held as itself, as an encoded message and as a frame, and counted once.

Change: the daemon that holds a slot for a long body takes it in parts of 256 KiB, and the request runs once all have arrived. A failure before that means that the request has not run, so it can be sent again.

Moved without a change: answer kinds, the board's withdrawals, bodies between daemons and the end of a caller's input, to modules of their own.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderName, HeaderValue};
 
 use crate::announcement::BackendServer;
+use crate::answer_kind::AnswerKind;
 use crate::board::Board;
 use crate::body::{Reservation, UNRESERVED_BYTES};
 use crate::connection::{AnswerHead, BodyUse, RequestError, WholeAnswer};
-use crate::dialect::Dialect;
 use crate::document::{CustomerId, Policy};
 use crate::echo::Echo;
 use crate::envelope::{Envelope, Load, ReachedService, Report, RequestTiming};
@@ -22,7 +23,7 @@
 use crate::message::{self, Answer, Message};
 use crate::metrics::GuardLabels;
 use crate::notices::Notices;
-use crate::reason::{self, Outcome, Reason};
+use crate::reason::{Outcome, Reason};
 use crate::shared::Shared;
 use crate::sync::lock;
 use crate::time::Time;
@@ -47,6 +48,9 @@
     deadline: Time,
     /// Memory for the body, if it is long and comes from another daemon.
     memory: Reservation,
+    /// Length of the body, as its sender announced it, and what has arrived of it.
+    body_bytes: usize,
+    body: BytesMut,
 }
 
 impl Admission {
@@ -55,6 +59,26 @@
         self.permit.restart();
     }
 
+    /// Appends a part of the body. Returns `false` if it is longer than its sender announced.
+    pub fn append(&mut self, part: &[u8]) -> bool {
+        let fits = self.body.len() + part.len() <= self.body_bytes;
+        if fits {
+            self.body.reserve(self.body_bytes - self.body.len());
+            self.body.extend_from_slice(part);
+        }
+        fits
+    }
+
+    /// Whether a body arrives in parts, and some are missing.
+    pub fn lacks_parts(&self) -> bool {
+        self.body.len() < self.body_bytes
+    }
+
+    /// Takes the body that has arrived in parts.
+    pub fn take_body(&mut self) -> Bytes {
+        std::mem::take(&mut self.body).freeze()
+    }
+
     /// Takes the memory for the body, which belongs to the body once that has arrived.
     pub fn take_memory(&mut self) -> Reservation {
         self.memory.take()
@@ -96,7 +120,15 @@
     let permit = board.gate.acquire(slot_request, &envelope.route).await.map_err(refuse)?;
     let queue_wait = board.clock.now().since(queued);
     board.record_queue_wait(envelope.importance, queue_wait);
-    Ok(Admission { permit, _suspect_permit: suspect_permit, queue_wait, deadline, memory: None })
+    Ok(Admission {
+        permit,
+        _suspect_permit: suspect_permit,
+        queue_wait,
+        deadline,
+        memory: None,
+        body_bytes: 0,
+        body: BytesMut::new(),
+    })
 }
 
 /// Waits for memory for a body of `body_bytes` that another daemon is about to send, and for a slot.
@@ -122,7 +154,7 @@
         let reason = Reason::QueueDelay { wait_ms, time_left_ms };
         return Err(Box::new(refuse(shared, envelope, reason)));
     };
-    Ok(Admission { memory, ..admit(shared, envelope, deadline).await? })
+    Ok(Admission { memory, body_bytes, ..admit(shared, envelope, deadline).await? })
 }
 
 /// Runs a request that holds a slot.
@@ -358,44 +390,6 @@
     headers
 }
 
-/// What an answer is, as its head tells.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum AnswerKind {
-    /// The backend server did not run the request.
-    Refusal,
-    /// It comes from another instance, which did not run the request.
-    Misdirected,
-    /// It comes from another process than a backend server.
-    Unsealed,
-    /// Its status promises that the request did not run, which the backend server does not say.
-    FalsePromise,
-    /// The backend server's answer, which is delivered with its body.
-    Final,
-}
-
-impl AnswerKind {
-    fn of(dialect: &Dialect, status: StatusCode, headers: &HeaderMap, envelope: &Envelope) -> Self {
-        let has = |name: &HeaderName| headers.contains_key(name);
-        let sealed = dialect.seal.as_ref().map(has);
-        if dialect.instance.is_some()
-            && status == StatusCode::MISDIRECTED_REQUEST
-            && sealed != Some(true)
-        {
-            return Self::Misdirected;
-        }
-        if dialect.not_run.as_ref().is_some_and(has) {
-            return Self::Refusal;
-        }
-        if sealed == Some(false) {
-            return Self::Unsealed;
-        }
-        match envelope.claimed && reason::promises_not_run(status) {
-            true => Self::FalsePromise,
-            false => Self::Final,
-        }
-    }
-}
-
 /// Converts what the backend server sent to the answer to the request.
 fn classify_response(
     shared: &Shared,
--- a/src/board.rs
+++ b/src/board.rs
@@ -6,6 +6,7 @@
 
 mod in_flight;
 mod shutdown;
+mod withdrawal;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,10 +46,6 @@
 /// peer that does not answer within one round of heartbeats is unreachable.
 const PEER_VERSION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Maximum time that a daemon waits after its start until the store has told which runs of its backend
-/// server have withdrawn. By then all peers know of what one of them was told.
-const CONSULT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// All state that the tasks of one daemon share.
 #[derive(Debug)]
 pub struct Board {
@@ -345,28 +342,6 @@
         self.scanned.load(Ordering::Acquire) && self.read_view(View::len) <= 1
     }
 
-    /// Uses announced runs of the local backend server from the moment at which the withdrawals before the
-    /// start are known: the store was asked, and a peer has answered. Waits no longer than `CONSULT_TIMEOUT`
-    /// for the store, and `PEER_VERSION_TIMEOUT` for a peer.
-    pub(crate) fn check_recall(&self) {
-        if self.withdrawals.are_recalled() {
-            return;
-        }
-        let heard = self.introduced.load(Ordering::Acquire) || self.is_alone();
-        let age = self.clock.now().since(Time::ZERO);
-        let consulted = self.consulted.load(Ordering::Acquire) || age >= CONSULT_TIMEOUT;
-        let waited = age >= PEER_VERSION_TIMEOUT;
-        if ((heard && consulted) || waited) && self.withdrawals.end_recall() {
-            tracing::info!(event = "withdrawals-recalled", vm = self.settings.vm, heard, consulted);
-            self.publish_self();
-        }
-    }
-
-    /// Records that the store was asked for the last record of this VM.
-    pub(crate) fn mark_consulted(&self) {
-        self.consulted.store(true, Ordering::Release);
-    }
-
     /// Records that a peer has reported the versions of its document and roster.
     pub fn mark_introduced(&self) {
         self.introduced.store(true, Ordering::Release);
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -423,9 +423,18 @@
     match peers.reserve(shared, address, envelope.clone(), message.body.len()).await? {
         SlotGrant::Refused(refusal) => Ok(*refusal),
         SlotGrant::Held(slot) => {
+            let time_left = || call.deadline.since(shared.board.clock.now());
+            let mut message = message;
+            if message.body.len() > UNRESERVED_BYTES {
+                let body = std::mem::take(&mut message.body);
+                if !peers.upload(shared, address, slot, &body, time_left()).await? {
+                    let refusal = Answer::not_run(envelope.request.clone(), Reason::SlotExpired);
+                    return Ok(refusal);
+                }
+            }
             is_sent.store(true, Ordering::Relaxed);
-            let left = call.deadline.since(shared.board.clock.now());
-            peers.run_reserved(shared, address, slot, with_time_left(envelope, left), message).await
+            let envelope = with_time_left(envelope, time_left());
+            peers.run_reserved(shared, address, slot, envelope, message).await
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod announcement;
+pub mod answer_kind;
 pub mod arrivals;
 pub mod backend;
 pub mod board;
--- a/src/local_backend.rs
+++ b/src/local_backend.rs
@@ -19,7 +19,7 @@
 use crate::pipeline::Delivery;
 use crate::quarantine::{CrashId, CrashStatus, Fingerprint, Quarantine};
 use crate::reason::Reason;
-use crate::runs::{Verdict, Withdrawal, Withdrawn};
+use crate::runs::Verdict;
 use crate::sync::lock;
 use crate::time::{self, Time};
 
@@ -107,71 +107,6 @@
         self.publish_self();
     }
 
-    /// Records that a run of the local backend server withdraws permanently: it gets no new requests, and a
-    /// late announcement does not reverse that. `started` is 0 if the start of the run is not known.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if another run of the same id has announced itself since.
-    pub fn withdraw(&self, id: &str, started: u64) -> Result<(), Rejection> {
-        let mut runs = lock(&self.runs);
-        let withdrawal = runs.withdraw(id, started, time::unix_millis());
-        tracing::info!(event = "backend-withdrawn", id, started, ?withdrawal);
-        if let Some(withdrawn) = runs.withdrawn().next_back().filter(|known| known.id == id) {
-            self.withdrawals.add(std::slice::from_ref(withdrawn));
-        }
-        match withdrawal {
-            Withdrawal::Newest => {
-                if let Some(known) = self.backend.load_full() {
-                    self.close_backend((*known).clone());
-                }
-                Ok(())
-            }
-            Withdrawal::Unannounced => {
-                self.publish_self();
-                Ok(())
-            }
-            Withdrawal::OtherRun => Err(Rejection::OtherRun),
-        }
-    }
-
-    /// Records runs that have withdrawn or drained beside an earlier daemon of this VM, as the store or a peer
-    /// tells. If the local backend server is one of them, it gets no more requests.
-    pub fn recall(&self, withdrawn: &[Withdrawn]) {
-        if withdrawn.is_empty() {
-            return;
-        }
-        let mut runs = lock(&self.runs);
-        let told = self.withdrawals.told();
-        let is_new =
-            |left: &&Withdrawn| !told.contains(left) && !runs.withdrawn().any(|run| run == *left);
-        let withdrawn: Vec<Withdrawn> = withdrawn.iter().filter(is_new).cloned().collect();
-        if withdrawn.is_empty() {
-            return;
-        }
-        runs.recall(&withdrawn);
-        self.withdrawals.add(&withdrawn);
-        let known = self.backend.load_full();
-        let has_left = |known: &Arc<BackendServer>| {
-            withdrawn.iter().any(|left| left.contains(known)) && !known.draining
-        };
-        tracing::info!(event = "withdrawals-learned", vm = self.settings.vm, ?withdrawn);
-        match known.filter(has_left) {
-            Some(known) => {
-                self.close_now();
-                self.close_backend((*known).clone());
-            }
-            None => self.publish_self(),
-        }
-    }
-
-    /// Lets others know that a run of the local backend server is leaving.
-    fn tell_leaving(&self, backend: &BackendServer) {
-        if let Some(withdrawn) = Withdrawn::of(backend) {
-            self.withdrawals.add(&[withdrawn]);
-        }
-    }
-
     /// The service of the local backend server: that of the settings, else the announced one. Empty while
     /// neither is known.
     pub fn own_service(&self) -> String {
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -4,6 +4,7 @@
 //! authenticated mutually with the fleet's secret. Calls are multiplexed: many share one connection, and
 //! all of them fail when it stops answering. docs/DESIGN.md, "Links".
 
+mod bodies;
 mod connection;
 mod heartbeat;
 mod server;
@@ -17,7 +18,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::future::Either;
 use serde::{Deserialize, Serialize};
 use tarpc::{client, context};
@@ -28,14 +29,12 @@
 use self::heartbeat::{merge_heartbeat, own_heartbeat};
 pub use self::server::serve;
 pub use self::watch::watch_connections;
-use crate::body::attach_memory;
 use crate::document::RawDocument;
-use crate::envelope::{Envelope, Report};
-use crate::held_bodies::{BodyId, HeldBody};
+use crate::envelope::Envelope;
+use crate::held_bodies::BodyId;
 use crate::member::Record;
 use crate::message::{Answer, Message};
 use crate::overload::{DemandReport, OverloadStatus};
-use crate::reason::Reason;
 use crate::reservation::{SlotGrant, SlotId};
 use crate::roster::Roster;
 use crate::share::LOAN_VALIDITY;
@@ -61,9 +60,6 @@
 /// years away, as a route without a sensible one has.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(3_600);
 
-/// Shortest wait for memory that is logged.
-const MIN_LOGGED_WAIT: Duration = Duration::from_millis(50);
-
 /// Time after which a call that may be made twice is made again over a new connection.
 const RESEND_AFTER: Duration = Duration::from_millis(250);
 
@@ -72,6 +68,7 @@
     async fn run(envelope: Envelope, message: Message) -> Answer;
     async fn reserve(envelope: Envelope, body_bytes: usize) -> SlotGrant;
     async fn run_reserved(slot: SlotId, envelope: Envelope, message: Message) -> Answer;
+    async fn upload(slot: SlotId, part: Bytes) -> bool;
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
     async fn borrow(request: LoanRequest) -> LoanResponse;
     async fn report_demand(vm: String, report: DemandReport) -> OverloadStatus;
@@ -210,61 +207,6 @@
         }
     }
 
-    /// Fetches the body of an answer if the daemon at `address` holds it because it is long. Waits until
-    /// this daemon has memory for it.
-    async fn complete(
-        &self,
-        shared: &Shared,
-        address: SocketAddr,
-        answer: Answer,
-        time_left: Duration,
-    ) -> Result<Answer, CallError> {
-        let Some(HeldBody { id, bytes }) = answer.report.held_body else { return Ok(answer) };
-        let length = usize::try_from(bytes).unwrap_or(usize::MAX);
-        let longest = shared.answers.longest();
-        let fetched = if length > longest {
-            Err(format!("the answer has {length} bytes, and this daemon takes {longest}"))
-        } else {
-            let started = shared.board.clock.now();
-            let memory = shared.answers.reserve(length).await;
-            log_memory_wait(shared, length, shared.board.clock.now().since(started));
-            let body = self.fetch_body(shared, address, (id, length), time_left).await?;
-            body.map(|body| attach_memory(body, memory))
-                .ok_or_else(|| "the daemon beside it no longer holds its answer".to_owned())
-        };
-        let report = Report { held_body: None, ..answer.report };
-        Ok(match fetched {
-            Ok(body) => Answer { body, report, ..answer },
-            Err(problem) => {
-                let reason = Reason::BadAnswer { problem };
-                let lost = Answer::refusal(report.request.clone(), report.outcome, reason.clone());
-                Answer { report: Report { reason: Some(reason), ..report }, ..lost }
-            }
-        })
-    }
-
-    /// Fetches a body in parts. Returns `None` if it is no longer held.
-    async fn fetch_body(
-        &self,
-        shared: &Shared,
-        address: SocketAddr,
-        (id, length): (BodyId, usize),
-        timeout: Duration,
-    ) -> Result<Option<Bytes>, CallError> {
-        let mut body = BytesMut::with_capacity(length);
-        while body.len() < length {
-            let connection = self.connection(shared, address).await?;
-            let offset = body.len() as u64;
-            let part = connection.client.body_part(context_with_timeout(timeout), id, offset);
-            let part = self.call(shared, address, &connection, part).await?;
-            let Some(part) = part.filter(|part| part.len() <= length - body.len()) else {
-                return Ok(None);
-            };
-            body.extend_from_slice(&part);
-        }
-        Ok(Some(body.freeze()))
-    }
-
     /// Exchanges heartbeats with one peer. Returns whether it answered.
     pub async fn exchange_heartbeat(&self, shared: &Shared, member: &Record) -> bool {
         let heartbeat = own_heartbeat(shared, &member.vm);
@@ -466,18 +408,6 @@
     context
 }
 
-/// Logs an answer that had to wait until this daemon had memory for its body.
-fn log_memory_wait(shared: &Shared, bytes: usize, wait: Duration) {
-    let board = &shared.board;
-    if wait < MIN_LOGGED_WAIT {
-        return;
-    }
-    if let Some(weight) = board.log_sampler.weigh("answer-waited", board.clock.now()) {
-        let (vm, ms) = (&board.settings.vm, wait.as_millis() as u64);
-        tracing::info!(event = "answer-waited-for-memory", weight, vm, bytes, ms);
-    }
-}
-
 fn log_unopened(shared: &Shared, address: SocketAddr, error: &io::Error) {
     tracing::debug!(event = "link-unopened", vm = shared.board.settings.vm, %address, %error);
 }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -84,7 +84,15 @@
             return backend::refuse_expired(&self.shared, &envelope);
         };
         let time_left = Duration::from_micros(envelope.time_left_us);
-        let body = attach_memory(message.body, admission.take_memory());
+        if message.body.is_empty() && admission.lacks_parts() {
+            admission.cancel();
+            return backend::refuse_expired(&self.shared, &envelope);
+        }
+        let body = match message.body.is_empty() {
+            true => admission.take_body(),
+            false => message.body,
+        };
+        let body = attach_memory(body, admission.take_memory());
         let message = Message { body: body.clone(), ..message };
         let answer = backend::run_admitted(&self.shared, envelope, message, admission).await;
         // Also bounds what the backend server holds until it answers.
@@ -92,6 +100,10 @@
         held_bodies::hold_long(&self.shared, answer, time_left)
     }
 
+    async fn upload(self, _: context::Context, slot: SlotId, part: Bytes) -> bool {
+        self.shared.reservations.append(slot, &part)
+    }
+
     async fn heartbeat(self, _: context::Context, heartbeat: Heartbeat) -> Heartbeat {
         let sender = heartbeat.record.vm.clone();
         heartbeat::merge_heartbeat(&self.shared, heartbeat);
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -15,14 +15,14 @@
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
 pub use self::listener::{Delivery, Hooks, serve};
-use self::reading::{CompleteRequest, PartialRequest, ReadState, WantedMemory};
+use self::reading::{CompleteRequest, PartialRequest, ReadState, WantedMemory, until_closed};
 use self::response::write_response;
 use crate::body::{BodyMemory, Progress, Reservation, UNRESERVED_BYTES};
 use crate::chunked::ChunkError;
@@ -502,16 +502,6 @@
     }
 }
 
-/// Waits until the other side has closed the connection. Unread input, which the connection may have while
-/// it is not read, does not hide that.
-async fn until_closed(reader: &OwnedReadHalf) {
-    // Of the two kinds of readiness that this interest stands for, only the end of the input is registered.
-    let ready = reader.ready(Interest::PRIORITY).await;
-    if ready.is_ok_and(|ready| !ready.is_read_closed()) {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Returns a task that has its answer already.
 fn completed_task(answer: Answer, clock: Clock) -> AbortOnDropHandle<(Answer, Time)> {
     AbortOnDropHandle::new(tokio::spawn(async move { (answer, clock.now()) }))
--- a/src/pipeline/reading.rs
+++ b/src/pipeline/reading.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use tokio::io::Interest;
+use tokio::net::tcp::OwnedReadHalf;
 
 use crate::body::{BodyReader, Reservation};
 use crate::head::Head;
@@ -72,3 +74,13 @@
         bounds.header_timeout.min(end.since(last_progress))
     }
 }
+
+/// Waits until the other side has closed the connection. Unread input, which the connection may have while
+/// it is not read, does not hide that.
+pub(super) async fn until_closed(reader: &OwnedReadHalf) {
+    // Of the two kinds of readiness that this interest stands for, only the end of the input is registered.
+    let ready = reader.ready(Interest::PRIORITY).await;
+    if ready.is_ok_and(|ready| !ready.is_read_closed()) {
+        std::future::pending::<()>().await;
+    }
+}
--- a/src/reservation.rs
+++ b/src/reservation.rs
@@ -42,6 +42,12 @@
 }
 
 impl Reservations {
+    /// Appends a part of the body for which a slot is held. Returns whether it is held, and has memory for the
+    /// part.
+    pub fn append(&self, slot: SlotId, part: &[u8]) -> bool {
+        lock(&self.held).get_mut(&slot).is_some_and(|admission| admission.append(part))
+    }
+
     /// Takes the slot of a reservation. Returns `None` if it has expired.
     pub fn take(&self, slot: SlotId) -> Option<Admission> {
         lock(&self.held).remove(&slot)
